Start the workspace with contract, versions, events and the peer protocol

Cause: the repository was empty; the plumbing that every other part builds on comes first. Before: nothing.

--- /dev/null
+++ b/hitch-admission/src/lib.rs
@@ -0,0 +1,3 @@
+//! Admission control at a backend server.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-contract/tests/it/main.rs
@@ -0,0 +1,2 @@
+//! Tests of the contract.
+mod read;
--- /dev/null
+++ b/hitch-ctl/src/lib.rs
@@ -0,0 +1,3 @@
+//! The operator's command.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-ctl/src/main.rs
@@ -0,0 +1,5 @@
+//! The operator's command.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/hitch-edge/src/lib.rs
@@ -0,0 +1,3 @@
+//! Caller edge and backend edge.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-event/tests/it/main.rs
@@ -0,0 +1,2 @@
+//! Tests of events.
+mod timeline;
--- /dev/null
+++ b/hitch-load/src/lib.rs
@@ -0,0 +1,3 @@
+//! Load generator and experiments.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-load/src/main.rs
@@ -0,0 +1,5 @@
+//! Load generator and experiments.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/hitch-once/src/lib.rs
@@ -0,0 +1,3 @@
+//! At-most-once execution by intervals of key time.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-retry/src/lib.rs
@@ -0,0 +1,3 @@
+//! Outcomes, retry budget, hedging and crash suspicion.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-roster/src/lib.rs
@@ -0,0 +1,3 @@
+//! Membership of instances.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-route/src/lib.rs
@@ -0,0 +1,3 @@
+//! Route table and load balancing.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-settings/src/lib.rs
@@ -0,0 +1,3 @@
+//! Reading of YAML settings.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-share/src/lib.rs
@@ -0,0 +1,3 @@
+//! Fleet-wide limits, divided among the nodes of a service.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-spread/src/lib.rs
@@ -0,0 +1,3 @@
+//! Dissemination of log records between nodes.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hitch-standin-backend/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-in for a backend server.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
