Read YAML settings and report all faults at once

Cause: binaries had no reader of settings, and serde stops at the first fault, so an operator would fix a file one fault per attempt.

Change: hitch-settings reads a file into a tree with lines and then into the caller's struct. Unknown fields, repeated keys, absent fields and wrong types go into one report with line, field, value and what is allowed. Checks of single fields (names, numbers, times, percentages, rates, addresses, URLs) add to the same report. Files over 64 KiB, non-UTF-8 and alias bombs are refused. The settings of a node are defined in hitch_settings::node.

Before: no tests.

Conclusion: all binaries can read their settings through this crate.

--- a/hitch-settings/tests/it/main.rs
+++ b/hitch-settings/tests/it/main.rs
@@ -1,1 +1,3 @@
-//! Tests.
+//! Tests of settings.
+mod node;
+mod read;
--- /dev/null
+++ b/hitch-settings/tests/it/read.rs
@@ -0,0 +1,50 @@
+//! Tests of reading.
+
+use hitch_settings::from_bytes;
+use hitch_settings::read::MAX_BYTES;
+use proptest::prelude::*;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+
+type Lists = Vec<Vec<Vec<Vec<u32>>>>;
+
+/// Guards against files that cost memory or time before they are refused.
+#[test]
+fn oversized_and_exploding_files_are_refused() {
+    let mut bomb = "- &a [1,1,1,1,1,1,1,1,1,1]\n".to_owned();
+    for (this, last) in ["b", "c", "d", "e", "f"]
+        .iter()
+        .zip(["a", "b", "c", "d", "e"])
+    {
+        let items = vec![format!("*{last}"); 10].join(",");
+        bomb.push_str(&format!("- &{this} [{items}]\n"));
+    }
+    let table = [
+        (vec![b' '; MAX_BYTES + 1], 0),
+        (b"a: 1\n\xff".to_vec(), 2),
+        (bomb.into_bytes(), 4),
+        ("[".repeat(60_000).into_bytes(), 1),
+    ];
+    for (bytes, line) in table {
+        let err = from_bytes::<Lists>("a.yaml", &bytes).unwrap_err();
+        assert_eq!(err.problems()[0].line, line, "{err}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic on a file that is not YAML.
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        if let Err(err) = hitch_settings::node::Settings::from_bytes("a.yaml", &bytes) {
+            prop_assert!(!err.problems().is_empty());
+        }
+    }
+}
