Check contracts whole and report every problem with its line

Cause: a contract was refused at its first structural fault, and names, paths, methods, limits and bounds of time were not checked at all.

--- a/hitch-contract/src/lib.rs
+++ b/hitch-contract/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod model;
 pub mod read;
 
+mod check;
+
 pub use model::Contract;
 pub use model::Rank;
 pub use model::Route;
