--- a/hitch-contract/tests/it/main.rs
+++ b/hitch-contract/tests/it/main.rs
@@ -1,2 +1,3 @@
 //! Tests of the contract.
+mod examples;
 mod read;
