Add the stand-in for the log

Cause: no test could run against the log's protocol and its faults. Change: hitch-standin-log with a store that reads no clock (retention by records, bytes and age, append rate, outage, delays, lost answers, trim), the HTTP server with long polling, POST /control and GET /counters, a handle for tests in the same process, and a binary that stops on SIGTERM or SIGINT. Before: an empty crate, no test. Conclusion: a lost answer takes effect once, a delayed append takes effect after its caller left, and offsets stay dense under retention and trimming in these tests.

--- a/hitch-standin-log/tests/it/main.rs
+++ b/hitch-standin-log/tests/it/main.rs
@@ -1,1 +1,3 @@
-//! Tests.
+//! Tests of the log stand-in.
+mod serve;
+mod store;
