Add the operator's command hitch

Cause: operators had no way to publish a contract, to learn what became of it, or to see which version is in force where.

Change: hitch validates, publishes and amends contracts, and shows status, differences, history and the merged time line.

Before: no command, no tests.

Conclusion: a change has one outcome, and the operator learns it or is told how to ask again.

--- a/hitch-ctl/src/lib.rs
+++ b/hitch-ctl/src/lib.rs
@@ -1,3 +1,31 @@
-//! The operator's command.
+//! The operator's command `hitch`.
+//!
+//! Each command is a function here, so that tests run it without a process.
+//!
+//! ```
+//! let args = hitch_ctl::args::parse(&["validate", "a.yaml", "--format", "json"]).unwrap();
+//! assert_eq!(args.format, hitch_ctl::args::Format::Json);
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod args;
+pub mod diff;
+pub mod exit;
+pub mod fleet;
+pub mod history;
+pub mod nodes;
+pub mod publish;
+pub mod replay;
+pub mod run;
+pub mod status;
+pub mod timeline;
+pub mod wait;
+
+mod contract;
+mod http;
+mod in_force;
+mod view;
+
+pub use exit::Exit;
+pub use run::run;
--- /dev/null
+++ b/hitch-ctl/tests/it/wait.rs
@@ -0,0 +1,71 @@
+//! Tests of waiting.
+
+use std::time::Duration;
+
+use hitch_ctl::nodes::Nodes;
+use hitch_ctl::wait::Options;
+use hitch_ctl::wait::until_in_force;
+use serde_json::json;
+
+use crate::closed;
+use crate::node::FakeNode;
+
+fn options(version: u64, within_ms: u64) -> Options {
+    Options {
+        version,
+        within: Duration::from_millis(within_ms),
+    }
+}
+
+/// Guards against a wait that ends before nodes that only other nodes know have the version, or that
+/// waits for a node that is gone.
+#[tokio::test]
+async fn waits_for_members_that_the_given_node_knows() {
+    let seed = FakeNode::start("i-1", 3, "").await;
+    let slow = FakeNode::start("i-2", 2, "").await;
+    let gone = FakeNode::start("i-3", 1, "").await;
+    let members = json!([slow.as_member("ready"), gone.as_member("gone")]);
+    seed.set("members", members);
+    let mut seen = Vec::new();
+    let nodes = Nodes::default();
+    let last = until_in_force(&nodes, &[seed.admin], &options(3, 5000), |progress| {
+        seen.push((progress.in_force, progress.known));
+        slow.set("version_in_force", json!(3));
+    })
+    .await;
+    assert!(last.is_done(), "{last}");
+    assert_eq!(seen, [(1, 2), (2, 2)]);
+}
+
+/// Guards against a time-out that does not name the laggards and why they lag.
+#[tokio::test]
+async fn laggards_are_named_with_the_reason() {
+    let seed = FakeNode::start("i-1", 2, "").await;
+    let apart = FakeNode::start("i-2", 2, "").await;
+    seed.set("version_known", json!(3));
+    seed.set("ready", json!(false));
+    seed.set("not_ready_reason", json!("draining"));
+    seed.set("members", json!([apart.as_member("suspect")]));
+    let seeds = [seed.admin, closed()];
+    let last = until_in_force(&Nodes::default(), &seeds, &options(3, 0), |_| {}).await;
+    assert!(!last.is_done());
+    let found: Vec<_> = last
+        .laggards
+        .iter()
+        .map(|l| (&*l.instance, &*l.reason))
+        .collect();
+    assert_eq!((found.len(), last.known), (3, 3));
+    assert_eq!(found[0].0, "i-1");
+    assert!(found[0].1.contains("knows it") && found[0].1.contains("not ready: draining"));
+    assert_eq!(found[1].0, "i-2");
+    assert!(found[1].1.contains("knows only version 2"), "{last}");
+    assert_eq!(found[2].0, "127.0.0.1:1");
+    assert!(found[2].1.contains("read status of 127.0.0.1:1"), "{last}");
+}
+
+/// Guards against a wait that counts as done when nothing is known of any node.
+#[tokio::test]
+async fn silence_is_not_success() {
+    let last = until_in_force(&Nodes::default(), &[closed()], &options(0, 0), |_| {}).await;
+    assert!(!last.is_done());
+}
--- a/hitch-settings/src/problem.rs
+++ b/hitch-settings/src/problem.rs
@@ -2,11 +2,13 @@
 
 use std::fmt;
 
+use serde::Serialize;
+
 /// Longest value that a problem repeats, in characters.
 const MAX_VALUE_CHARS: usize = 160;
 
 /// One problem in a file of settings or in a contract.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Problem {
     /// Line of the value, from 1, or 0 where there is none.
     pub line: u64,
