Add routes, the choice of a backend server, and the edges of a node

Cause: a node needs a table to route by, a choice that does not trust health endpoints, and a hand-over that knows whether a byte of the call was sent. Change: hitch-route compiles one version into a table and switches to it in one swap; its pool takes the better of two by what the node itself sees. hitch-edge checks the head of calls and runs calls over connections that are reused only after a whole answer. Before: no code.

--- a/hitch-edge/src/lib.rs
+++ b/hitch-edge/src/lib.rs
@@ -1,3 +1,24 @@
-//! Caller edge and backend edge.
+//! The edges of a node: calls as callers make them, and connections to the backend server.
+//!
+//! ```
+//! use hitch_edge::caller;
+//!
+//! let req = http::Request::get("/registry/7")
+//!     .header("x-hitch-customer", "association")
+//!     .header("x-hitch-rank", "enquiry")
+//!     .header("x-hitch-deadline-ms", "800")
+//!     .body(())?;
+//! let head = caller::Head::from_parts(&req.into_parts().0)?;
+//! assert_eq!(&*head.rank, "enquiry");
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod backend;
+pub mod caller;
+pub mod header;
+pub mod problem;
+
+pub use backend::Backend;
+pub use problem::Problem;
--- a/hitch-edge/tests/it/main.rs
+++ b/hitch-edge/tests/it/main.rs
@@ -1,1 +1,3 @@
-//! Tests.
+//! Tests of the edges.
+mod backend;
+mod caller;
--- a/hitch-route/src/lib.rs
+++ b/hitch-route/src/lib.rs
@@ -1,3 +1,21 @@
-//! Route table and load balancing.
+//! Routes of the accepted configuration and the choice of a backend server for a call.
+//!
+//! A [`Table`] is compiled from one version and never changes. A [`Switch`] says when it may replace
+//! the one in force. A [`Pool`] chooses among the backend servers of one service.
+//!
+//! ```
+//! let table = hitch_route::Table::compile(&hitch_config::State::default());
+//! assert_eq!(table.version(), 0);
+//! assert!(table.try_find("association", "GET", "/registry").is_err());
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod pool;
+pub mod switch;
+pub mod table;
+
+pub use pool::BackendKey;
+pub use pool::Pool;
+pub use switch::Switch;
+pub use table::Table;
--- a/hitch-route/tests/it/main.rs
+++ b/hitch-route/tests/it/main.rs
@@ -1,1 +1,38 @@
-//! Tests.
+//! Tests of routing.
+mod pool;
+mod switch;
+mod table;
+
+use hitch_config::Change;
+use hitch_config::State;
+
+/// Makes a state with one customer, whose routes are given as (method, path, service).
+pub fn state(routes: &[(&str, &str, &str)]) -> State {
+    let mut services: Vec<&str> = routes.iter().map(|r| r.2).collect();
+    services.sort();
+    services.dedup();
+    let mut text = String::from("customer: a\nlands_within: 10s\nranks:\n");
+    text.push_str(
+        "  - { name: fee, target_latency: 150ms, worth: 9, share: 30%, admit: 200/s }\nservices:\n",
+    );
+    for s in services {
+        text.push_str(&format!("  - {{ name: {s}, slots: 2, connections: 4 }}\n"));
+    }
+    text.push_str("routes:\n");
+    for (method, path, service) in routes {
+        text.push_str(&format!(
+            "  - {{ method: {method}, path: {path}, service: {service}, idempotent: true, deadline: 1s }}\n"
+        ));
+    }
+    let change = Change {
+        change_id: Default::default(),
+        customer: "a".into(),
+        based_on: 0,
+        operator: "test".into(),
+        contract: text.into(),
+    };
+    let mut state = State::default();
+    state.apply(0, &change.to_bytes()).unwrap();
+    assert_eq!(state.version(), 1, "the contract of the test is valid");
+    state
+}
--- /dev/null
+++ b/hitch-route/tests/it/pool.rs
@@ -0,0 +1,104 @@
+//! Tests of the choice of a backend server.
+
+use std::time::Duration;
+
+use hitch_route::Pool;
+use hitch_route::pool::Backend;
+use hitch_route::pool::Finished;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn pool(zones: &[&str]) -> Pool {
+    let mut pool = Pool::new("a");
+    for (i, zone) in zones.iter().enumerate() {
+        pool.upsert(backend(i, zone));
+    }
+    pool
+}
+
+fn backend(i: usize, zone: &str) -> Backend {
+    Backend {
+        instance: format!("i-{i}").into(),
+        zone: zone.into(),
+        address: format!("n-{i}").into(),
+        accepts: true,
+    }
+}
+
+/// Guards against a backend server that draws calls because it fails fast. Each call is tried on at
+/// most two backend servers.
+#[test]
+fn backend_that_fails_fast_loses_under_one_percent_of_calls() {
+    let mut pool = pool(&["a", "a", "a", "b", "b"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let (mut now, mut lost) = (Duration::ZERO, 0);
+    for _ in 0..10_000 {
+        now += MS;
+        let mut tried = Vec::new();
+        let mut answered = false;
+        while !answered && tried.len() < 2 {
+            let pick = pool.pick(now, &mut rng, &tried).unwrap();
+            pool.started(pick.key);
+            answered = &*pick.instance != "i-1";
+            let finished = match answered {
+                true => Finished::Answered { latency: 5 * MS },
+                false => Finished::Failed,
+            };
+            pool.finished(now, pick.key, finished, None);
+            tried.push(pick.key);
+        }
+        lost += u32::from(!answered);
+    }
+    assert!(lost <= 100, "{lost} of 10000 calls were lost");
+}
+
+/// Guards against endpoints that mislead and so empty a service.
+#[test]
+fn ejection_leaves_half_of_the_service() {
+    let mut pool = pool(&["a", "a", "a", "a", "a"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut seen = std::collections::BTreeSet::new();
+    for round in 0..500 {
+        let pick = pool
+            .pick(MS, &mut rng, &[])
+            .expect("some backend server is always left");
+        pool.finished(MS, pick.key, Finished::Failed, None);
+        if round >= 250 {
+            seen.insert(pick.instance);
+        }
+    }
+    assert_eq!(seen.len(), 3);
+}
+
+/// Guards against calls that leave the zone without need, and against a zone that drowns alone.
+#[test]
+fn own_zone_goes_first_and_spills_over() {
+    let mut pool = pool(&["a", "b"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut near = 0;
+    for _ in 0..8 {
+        let pick = pool.pick(MS, &mut rng, &[]).unwrap();
+        pool.started(pick.key);
+        near += u32::from(&*pick.instance == "i-0");
+    }
+    assert!(
+        (5..8).contains(&near),
+        "{near} of 8 calls stayed in the zone"
+    );
+}
+
+/// Guards against new calls to a backend server that is leaving.
+#[test]
+fn leaving_backend_is_not_chosen() {
+    let mut pool = pool(&["a"]);
+    pool.upsert(Backend {
+        accepts: false,
+        ..backend(0, "a")
+    });
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    assert!(pool.pick(MS, &mut rng, &[]).is_none());
+    assert!(pool.try_find("i-0").is_none());
+    assert!(pool.is_empty());
+}
--- /dev/null
+++ b/hitch-route/tests/it/table.rs
@@ -0,0 +1,34 @@
+//! Tests of the table.
+
+use assert_matches::assert_matches;
+use hitch_route::Table;
+use hitch_route::table::Error;
+
+use crate::state;
+
+/// Guards against a short prefix that hides a longer one, and a prefix that matches half a segment.
+#[test]
+fn longest_prefix_on_whole_segments_wins() {
+    let table = Table::compile(&state(&[("GET", "/x", "s"), ("GET", "/x/y", "t")]));
+    assert_eq!(
+        &*table.try_find("a", "GET", "/x/y/z").unwrap().route.service,
+        "t"
+    );
+    assert_eq!(
+        &*table.try_find("a", "GET", "/x/yy").unwrap().route.service,
+        "s"
+    );
+    assert_matches!(table.try_find("a", "GET", "/xy"), Err(Error::NoRoute));
+    assert_matches!(table.try_find("a", "POST", "/x"), Err(Error::WrongMethod));
+}
+
+/// Guards against a route in force whose service the node lacks.
+#[test]
+fn route_to_missing_service_is_inactive() {
+    let table = Table::compile(&state(&[("GET", "/x", "s"), ("GET", "/y", "t")]));
+    let table = table.with_services(|s| s == "s");
+    assert_matches!(table.try_find("a", "GET", "/x"), Ok(_));
+    assert_matches!(table.try_find("a", "GET", "/y"), Err(Error::Inactive));
+    assert!(table.matches(|s| s == "s"));
+    assert!(!table.matches(|_| true));
+}
