Add outcomes, retry budget and the decision to retry

Cause: nodes need one rule for when a call may be tried again, and a bound on retries that holds through 18 levels of calls.

--- a/hitch-retry/tests/it/main.rs
+++ b/hitch-retry/tests/it/main.rs
@@ -1,1 +1,4 @@
-//! Tests.
+//! Tests of retries.
+mod budget;
+mod decide;
+mod outcome;
