Add the queue beside one backend server

Cause: a node has to decide which call its backend server runs next, which one waits and which one is refused before it runs. Change: pure state machine with ranks, guaranteed shares, bounded queues, deadlines, a concurrency limit that follows latency and load-shed answers, a cold-start ramp, cancellation and draining. Before: empty crate.

--- /dev/null
+++ b/hitch-admission/src/finish.rs
@@ -0,0 +1,82 @@
+//! End of a running call.
+
+use std::time::Duration;
+
+use crate::queue::Call;
+use crate::queue::CallState;
+use crate::queue::Queue;
+use crate::queue::Ticket;
+
+/// How a running call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finished {
+    /// The backend server gave a complete answer.
+    Answered {
+        /// Time from the hand-over to the complete answer.
+        latency: Duration,
+    },
+    /// The backend server refused the call because it is overloaded.
+    Shed,
+    /// The call failed in another way. Its latency is not measured, because failures can be fast.
+    Failed,
+    /// The call was cancelled, by its caller or at its deadline.
+    Cancelled,
+}
+
+impl Queue {
+    /// Frees the slot of a running call. A ticket that is not running is ignored.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use hitch_admission::Finished;
+    /// use hitch_admission::Ticket;
+    ///
+    /// let service = hitch_contract::Service { name: "ledger".into(), slots: 13, connections: 130 };
+    /// let mut queue = hitch_admission::Queue::new(Duration::ZERO, &service, &[], Default::default());
+    /// queue.finish(Duration::ZERO, Ticket::default(), Finished::Failed);
+    /// assert_eq!(queue.running(), 0);
+    /// ```
+    pub fn finish(&mut self, now: Duration, ticket: Ticket, finished: Finished) {
+        self.advance(now);
+        let Some(call) = self.calls.get(ticket) else {
+            return;
+        };
+        let since = match call.state {
+            CallState::Queued => return,
+            CallState::Running { since } | CallState::Cancelling { since } => since,
+        };
+        let Some(call) = self.remove(ticket) else {
+            return;
+        };
+        match finished {
+            Finished::Answered { latency } => self.observe(now, &call, latency),
+            Finished::Shed => self.limit.shed(now, self.longest_service_time(now)),
+            Finished::Failed => {}
+            Finished::Cancelled => self.observe_cancelled(now, &call, now.saturating_sub(since)),
+        }
+    }
+
+    fn observe(&mut self, now: Duration, call: &Call, latency: Duration) {
+        let Some(rank) = call.rank else { return };
+        self.ranks[rank.position()].estimate.observe(now, latency);
+        self.limit.observe(rank.position(), latency);
+    }
+
+    /// Counts a cancelled call when it already took longer than the mean.
+    ///
+    /// Without these, the measurement would only see the calls that were fast enough.
+    fn observe_cancelled(&mut self, now: Duration, call: &Call, elapsed: Duration) {
+        let Some(rank) = call.rank else { return };
+        if elapsed > self.service_time(now, rank) {
+            self.observe(now, call, elapsed);
+        }
+    }
+
+    fn longest_service_time(&self, now: Duration) -> Duration {
+        let mut longest = Duration::ZERO;
+        for rank in &self.ranks {
+            longest = longest.max(rank.estimate.at(now));
+        }
+        longest
+    }
+}
--- a/hitch-admission/tests/it/main.rs
+++ b/hitch-admission/tests/it/main.rs
@@ -1,1 +1,76 @@
-//! Tests.
+//! Tests of admission control.
+mod offer;
+mod poll;
+
+use std::time::Duration;
+
+use hitch_admission::Offer;
+use hitch_admission::Offered;
+use hitch_admission::Options;
+use hitch_admission::Queue;
+use hitch_admission::RankId;
+use hitch_admission::Ticket;
+
+/// Time by which every queue of these tests is warm.
+pub const WARM: Duration = Duration::from_secs(60);
+
+/// Makes the warm queue of a backend server with two slots and ranks of 50 %, 25 % and 25 %.
+pub fn queue() -> Queue {
+    let options = Options {
+        queued_per_slot: 1,
+        queued_in_all_per_slot: 2,
+        ..Options::default()
+    };
+    let service = hitch_contract::Service {
+        name: "ledger".into(),
+        slots: 2,
+        connections: 20,
+    };
+    let ranks = [
+        rank("fee", 150, 100, 50),
+        rank("claim", 300, 20, 25),
+        rank("enquiry", 800, 1, 25),
+    ];
+    Queue::new(Duration::ZERO, &service, &ranks, options)
+}
+
+/// Makes a rank of a contract.
+pub fn rank(name: &str, target_ms: u64, worth: u32, share_percent: u8) -> hitch_contract::Rank {
+    hitch_contract::Rank {
+        name: name.into(),
+        target_latency: ms(target_ms),
+        worth,
+        share_percent,
+        admit_per_second: 1000,
+    }
+}
+
+/// Makes an offer with a distant deadline.
+pub fn offer(rank: u16) -> Offer {
+    Offer {
+        rank: RankId::new(rank),
+        deadline: WARM * 2,
+        expected: None,
+    }
+}
+
+/// Offers a call that must be queued.
+pub fn queued(queue: &mut Queue, now: Duration, offer: Offer) -> Ticket {
+    match queue.offer(now, offer) {
+        Offered::Queued(ticket) => ticket,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Fills both slots.
+pub fn fill(queue: &mut Queue, rank: u16) -> [Ticket; 2] {
+    [rank, rank].map(|rank| match queue.offer(WARM, offer(rank)) {
+        Offered::Run(ticket) => ticket,
+        other => panic!("{other:?}"),
+    })
+}
+
+/// Shortens the making of durations.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
