Add membership: merge, digests, failure detection, selections

Cause: nodes need to know each other without a central list, and to pick readers of the log alike. Change: hitch-roster with the merge rule, refutation, digests of 64 buckets, recent updates, direct and indirect probes, urgent exchanges for leaving nodes, rendezvous selections. Before: an empty crate.

--- a/hitch-roster/src/lib.rs
+++ b/hitch-roster/src/lib.rs
@@ -1,3 +1,47 @@
-//! Membership of instances.
+//! Membership of instances: announcements, failure detection, selection of readers.
+//!
+//! The machine does no I/O and reads no clock. The caller passes in time since process start and
+//! observations, carries out the [`Command`]s and sends the members that it is told to send.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hitch_roster::Contact;
+//! use hitch_roster::Incarnation;
+//! use hitch_roster::Member;
+//! use hitch_roster::Options;
+//! use hitch_roster::Roster;
+//! use hitch_roster::State;
+//!
+//! let member = |instance: &str| {
+//!     let contact = Contact { instance: instance.into(), zone: "a".into(), ..Contact::default() };
+//!     Member::starting(Incarnation([1; 16]), contact)
+//! };
+//! let mut roster = Roster::new(member("n1"), Options::default());
+//! let changes = roster.merge(Duration::from_secs(1), [member("n2")]);
+//! assert_eq!(changes.len(), 1);
+//! assert_eq!(roster.members().count(), 2);
+//! assert_eq!(roster.readers("a", 2).len(), 2);
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod detect;
+pub mod digest;
+pub mod member;
+mod merge;
+pub mod pick;
+mod recent;
+pub mod roster;
+
+pub use detect::Command;
+pub use detect::Peer;
+pub use digest::Digest;
+pub use member::Contact;
+pub use member::Incarnation;
+pub use member::Member;
+pub use member::MemberKey;
+pub use member::State;
+pub use roster::Change;
+pub use roster::Options;
+pub use roster::Roster;
--- /dev/null
+++ b/hitch-roster/src/recent.rs
@@ -0,0 +1,49 @@
+//! Recent updates, sent along with every exchange.
+
+use std::cmp::Reverse;
+
+use crate::member::Member;
+use crate::member::MemberKey;
+use crate::member::State;
+use crate::roster::Roster;
+
+impl Roster {
+    /// Takes the updates to send along with a message to `to`, at most `max_recent` and one.
+    ///
+    /// Each update is sent a number of times that grows with the logarithm of members. When `to` is
+    /// suspected or gone, its own entry is included, so that it can refute it.
+    ///
+    /// ```
+    /// # use hitch_roster::*;
+    /// # let own = Member::starting(Incarnation([1; 16]), Contact::default());
+    /// let mut roster = Roster::new(own.clone(), Options::default());
+    /// assert_eq!(roster.take_recent(None), [own]);
+    /// ```
+    pub fn take_recent(&mut self, to: Option<MemberKey>) -> Vec<Member> {
+        let mut least_sent: Vec<(bool, u32, Reverse<u32>, MemberKey)> = Vec::new();
+        for (key, sent) in &self.recent {
+            let entry = &self.entries[*key];
+            // Leaving members go first: a mass start would delay them behind hundreds of updates.
+            let waits = entry.state != State::Draining;
+            least_sent.push((waits, *sent, Reverse(entry.changed), *key));
+        }
+        if least_sent.len() > self.options.max_recent {
+            least_sent.select_nth_unstable(self.options.max_recent);
+            least_sent.truncate(self.options.max_recent);
+        }
+        let enough = self.live_count().max(1).ilog2() + 2;
+        let mut members = Vec::new();
+        for (_, sent, _, key) in least_sent {
+            members.push(self.entries[key].member());
+            match sent + 1 < enough {
+                true => self.recent.insert(key, sent + 1),
+                false => self.recent.remove(&key),
+            };
+        }
+        let about = to.and_then(|key| self.get(key));
+        if let Some(member) = about.filter(|m| m.state >= State::Suspect) {
+            members.push(member);
+        }
+        members
+    }
+}
--- /dev/null
+++ b/hitch-roster/tests/it/digest.rs
@@ -0,0 +1,76 @@
+//! Tests of digests and recent updates.
+
+use std::time::Duration;
+
+use hitch_roster::Options;
+use hitch_roster::Roster;
+use hitch_roster::State;
+
+use crate::member;
+use crate::roster;
+use crate::with;
+
+const NOW: Duration = Duration::from_secs(1);
+
+/// Guards against a difference that digests never repair, beyond the bound of one message.
+#[test]
+fn pulls_repair_every_difference() {
+    let mut full = roster(2000);
+    let mut behind = full.clone();
+    for i in (1..2000).step_by(2) {
+        full.merge(NOW, [with(&member(&format!("n{i}"), "a"), 2, State::Ready)]);
+    }
+    let mut pulls = 0;
+    while behind.digest() != full.digest() {
+        let missing = full.missing(&behind.digest());
+        assert!(missing.len() <= Options::default().max_missing);
+        behind.merge(NOW, missing);
+        pulls += 1;
+        assert!(pulls < 100);
+    }
+}
+
+/// Guards against a newcomer that learns the fleet one bucket difference at a time.
+#[test]
+fn newcomer_learns_the_fleet_in_few_pulls() {
+    let mut full = roster(2000);
+    let mut new = Roster::new(member("new", "a"), Options::default());
+    for _ in 0..12 {
+        new.merge(NOW, full.missing(&new.digest()));
+    }
+    assert!(new.live_count() > 1900, "{} members", new.live_count());
+}
+
+/// Guards against updates that are sent forever or dropped before they spread.
+#[test]
+fn recent_updates_are_sent_a_logarithmic_number_of_times() {
+    let mut roster = roster(100);
+    while !roster.take_recent(None).is_empty() {}
+    roster.merge(NOW, [with(&member("n1", "a"), 2, State::Ready)]);
+    let mut sent = 0;
+    while !roster.take_recent(None).is_empty() {
+        sent += 1;
+    }
+    assert_eq!(sent, 8, "floor of log2 of 100, and two");
+}
+
+/// Guards against a suspected member that never learns of the suspicion.
+#[test]
+fn suspected_member_is_told_its_own_entry() {
+    let mut roster = roster(2);
+    roster.merge(NOW, [with(&member("n1", "a"), 1, State::Gone)]);
+    while !roster.take_recent(None).is_empty() {}
+    let told = roster.take_recent(roster.try_find("n1"));
+    assert_eq!(told, [with(&member("n1", "a"), 1, State::Gone)]);
+}
+
+/// Guards against gone members that newcomers keep alive in messages forever.
+#[test]
+fn member_learned_as_gone_is_not_passed_on() {
+    let mut roster = roster(1);
+    let before = roster.digest();
+    while !roster.take_recent(None).is_empty() {}
+    roster.merge(NOW, [with(&member("n1", "a"), 1, State::Gone)]);
+    assert_eq!(roster.digest(), before);
+    assert_eq!(roster.take_recent(None), []);
+}
