--- a/hitch-spread/src/lib.rs
+++ b/hitch-spread/src/lib.rs
@@ -1,3 +1,39 @@
-//! Dissemination of log records between nodes.
+//! Dissemination of log records between nodes: digests, pulls, freshness, bounded snapshots.
+//!
+//! The machine does no I/O and reads no clock. The caller passes in time since process start and
+//! what arrived, applies the records that come out and carries out the [`Command`]s.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hitch_spread::Options;
+//! use hitch_spread::Record;
+//! use hitch_spread::Served;
+//! use hitch_spread::Spread;
+//!
+//! let now = Duration::from_secs(1);
+//! let mut reader = Spread::new(Options::default());
+//! let record = Record { offset: 0, data: (*b"change").into() };
+//! let outcome = reader.own_records(now, now, [record.clone()]);
+//! assert_eq!(outcome.apply, [record.clone()]);
+//! assert_eq!(reader.serve_fetch(now, 0, 65536), Served::Records(vec![record]));
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod fetch;
+pub mod fresh;
+pub mod record;
+pub mod serve;
+pub mod spread;
+mod start;
+
+pub use fetch::Command;
+pub use fetch::Outcome;
+pub use fresh::Digest;
+pub use record::Record;
+pub use serve::Served;
+pub use serve::Ticket;
+pub use spread::Options;
+pub use spread::Peer;
+pub use spread::Spread;
--- /dev/null
+++ b/hitch-spread/tests/it/fresh.rs
@@ -0,0 +1,70 @@
+//! Tests of freshness.
+
+use hitch_spread::Options;
+use hitch_spread::Peer;
+
+use crate::at;
+use crate::digest;
+use crate::holding;
+use crate::record;
+use crate::rng;
+
+/// Guards against an age that leaves out the time that the digest was on its way.
+#[test]
+fn confirmed_age_includes_the_transfer() {
+    let mut spread = holding(1, Options::default());
+    spread.received_digest(
+        at(12),
+        Peer(1),
+        digest(1, Some(5)),
+        Some(at(10)),
+        &mut rng(),
+    );
+    assert_eq!(spread.confirmed_age(at(13)), Some(at(8)));
+    assert!(spread.is_stale(at(13), at(7)));
+    assert!(!spread.is_stale(at(13), at(8)));
+}
+
+/// Guards against an old buffered message that makes a frozen node look fresh.
+#[test]
+fn unasked_digest_does_not_freshen() {
+    let mut spread = holding(1, Options::default());
+    spread.received_digest(at(600), Peer(1), digest(1, Some(0)), None, &mut rng());
+    assert_eq!(spread.confirmed_age(at(600)), None);
+    assert!(spread.needs_exchange(at(600)));
+}
+
+/// Guards against an answer from before a freeze that makes a frozen node look fresh.
+#[test]
+fn answer_to_an_old_request_does_not_freshen() {
+    let mut spread = holding(1, Options::default());
+    spread.received_digest(
+        at(600),
+        Peer(1),
+        digest(1, Some(0)),
+        Some(at(1)),
+        &mut rng(),
+    );
+    assert_eq!(spread.confirmed_age(at(600)), Some(at(599)));
+    assert!(spread.needs_exchange(at(600)));
+}
+
+/// Guards against a confirmation of records that the node lacks.
+#[test]
+fn confirmation_counts_once_its_records_are_held() {
+    let mut spread = holding(1, Options::default());
+    spread.confirmed(at(1), at(1), 1);
+    spread.received_digest(at(9), Peer(1), digest(3, Some(0)), Some(at(9)), &mut rng());
+    assert_eq!(spread.confirmed_age(at(10)), Some(at(9)));
+    spread.received_records(at(11), Peer(1), [record(1), record(2)]);
+    assert_eq!(spread.confirmed_age(at(11)), Some(at(2)));
+}
+
+/// Guards against a later, older confirmation that replaces a newer one.
+#[test]
+fn older_confirmation_is_ignored() {
+    let mut spread = holding(1, Options::default());
+    spread.confirmed(at(9), at(9), 1);
+    spread.received_digest(at(9), Peer(1), digest(1, Some(50)), Some(at(9)), &mut rng());
+    assert_eq!(spread.confirmed_age(at(10)), Some(at(1)));
+}
