Add the stand-in for a backend server

Cause: no test could run calls against a backend server, its faults and a ledger of what it ran. Change: hitch-standin-backend with slots, connection limit, cold start, drain, load shedding, cancellation, deadlines, misleading health and load, crash on a marked request, late, crossed, short and lost answers, chains of calls through a node, GET /ledger, GET /counters and POST /control, as a library and a binary. Before: an empty crate, no test. Conclusion: a marked request closes every connection and the port for the set time, and the ledger keeps each start, finish and early stop across it; a chain of 18 calls runs to its end.

--- /dev/null
+++ b/hitch-standin-backend/src/answer.rs
@@ -0,0 +1,30 @@
+//! Answers to calls.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Body of the answer to a call that ran.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Instance that ran the call.
+    pub instance: Box<str>,
+    /// Id of the call, as the request carried it.
+    pub call_id: Option<Box<str>>,
+    /// Method of the request.
+    pub method: Box<str>,
+    /// Path of the request.
+    pub path: Box<str>,
+    /// Length of the request body.
+    pub body_bytes: u64,
+    /// XXH3 hash of the request body, 64 bits in hexadecimal.
+    pub body_hash: Box<str>,
+    /// Service time, in microseconds.
+    pub work_us: u64,
+    /// Status of the answer to the next call, 0 if there was no answer.
+    pub next_status: Option<u16>,
+}
+
+/// Returns the hash that an answer carries for a request body.
+pub(crate) fn body_hash(body: &[u8]) -> Box<str> {
+    format!("{:016x}", xxhash_rust::xxh3::xxh3_64(body)).into()
+}
