Add the at-most-once machine

Cause: a non-idempotent call must run at most once for each key, whatever is paused, cut off or restarted. Change: keys (UUIDv7, 64 buckets by xxh3, date check at the edge), ownership records, the fold of a service's records (first in log order wins, gaps noticed, parts that were not read or are pruned are never claimed to be free), the table of one incarnation, and the planner (half an interval ahead, the next node in rank steps in, a leaving node hands over, a crashed one's intervals are left to end). Before: an empty crate. Conclusion: the parts keep their rules one by one; the whole is not model-checked yet.

--- a/hitch-once/src/lib.rs
+++ b/hitch-once/src/lib.rs
@@ -1,3 +1,69 @@
 //! At-most-once execution by intervals of key time.
+//!
+//! Every idempotency key carries its creation time. Records of the log state which node incarnation
+//! owns which keys of a service, by hash bucket and key time. A node runs a call only when its own
+//! current incarnation owns the key, and remembers the keys that it ran. The check reads no clock, so
+//! a node that was paused between the check and the run is harmless: nobody else ever owns the key.
+//!
+//! # What a caller may conclude from a refusal
+//!
+//! - *not-run*: this submission of the key caused no run and never will. When every submission of the
+//!   key so far ended as not-run, the key has not run, and the caller may submit it again, submit the
+//!   work under another key, or drop it. When an earlier submission ended as unknown or without an
+//!   answer, a not-run by the owner (any reason but `not-owner` and `no-owner`) settles that one too:
+//!   the owner refuses so only while no submission of the key has run anywhere. A not-run by another
+//!   node says nothing about earlier submissions, except that the key never ran on that instance.
+//! - *unknown*: the key may have run, once. Submitting the same key again is always safe.
+//!
+//! ```
+//! use hitch_once::Holder;
+//! use hitch_once::Incarnation;
+//! use hitch_once::Key;
+//! use hitch_once::Map;
+//! use hitch_once::Offered;
+//! use hitch_once::Planner;
+//! use hitch_once::Source;
+//! use hitch_once::Step;
+//! use hitch_once::Table;
+//!
+//! let me = Holder { instance: "10.0.0.1".into(), incarnation: Incarnation([1; 16]) };
+//! let now_ms = 1_800_000_000_000;
+//! let mut map = Map::new(0);
+//! map.confirm();
+//!
+//! let mut planner = Planner::new("ledger", me.clone(), Default::default());
+//! let step = planner.next(&map, &[me.clone()], now_ms);
+//! let Step::Append(record) = step else { panic!() };
+//! map.apply(0, &record, Source::Log)?;
+//!
+//! let mut table = Table::new(me, Default::default());
+//! let key = Key::generate(now_ms, 7);
+//! assert_eq!(table.offer(&map, key, 1), Offered::Run);
+//! assert_eq!(table.offer(&map, key, 1), Offered::Join);
+//! table.ran(key, "paid", 4);
+//! assert_eq!(table.offer(&map, key, 1), Offered::Answer("paid"));
+//! # Ok::<(), hitch_once::map::Error>(())
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod key;
+pub mod map;
+pub mod owner;
+pub mod plan;
+pub mod record;
+
+pub use key::BUCKETS;
+pub use key::Key;
+pub use map::Lookup;
+pub use map::Map;
+pub use map::Source;
+pub use owner::Offered;
+pub use owner::Refused;
+pub use owner::Table;
+pub use plan::Planner;
+pub use plan::Step;
+pub use record::Grant;
+pub use record::Holder;
+pub use record::Incarnation;
+pub use record::Record;
