--- a/hitch-roster/src/digest.rs
+++ b/hitch-roster/src/digest.rs
@@ -69,7 +69,8 @@
         digest
     }
 
-    /// Returns members that the sender of `theirs` seems to lack, at most `max_missing`.
+    /// Returns members that the sender of `theirs` seems to lack, at most `max_missing`, or
+    /// `max_missing_new` when it has empty buckets.
     ///
     /// Of a bucket that is empty at the sender it returns all members. Of one that differs it
     /// returns the latest changes and a changing part of the others.
@@ -82,7 +83,10 @@
     /// assert_eq!(roster.missing(&roster.digest()), []);
     /// ```
     pub fn missing(&mut self, theirs: &Digest) -> Vec<Member> {
-        let max = self.options.max_missing;
+        let max = match theirs.0.contains(&0) {
+            true => self.options.max_missing_new,
+            false => self.options.max_missing,
+        };
         let turn = self.detector.next_turn();
         let mut keys = Vec::new();
         for i in 0..BUCKETS {
--- a/hitch-roster/src/merge.rs
+++ b/hitch-roster/src/merge.rs
@@ -63,6 +63,32 @@
         self.take_changes()
     }
 
+    /// Takes in members from contact records of the log, which need not be passed on.
+    ///
+    /// ```
+    /// # use hitch_roster::*;
+    /// # use std::time::Duration;
+    /// # let own = Member::starting(Incarnation([1; 16]), Contact::default());
+    /// let mut roster = Roster::new(own, Options::default());
+    /// let contact = Contact { instance: "n2".into(), ..Contact::default() };
+    /// let found = Member::starting(Incarnation([1; 16]), contact);
+    /// assert_eq!(roster.load(Duration::ZERO, [found]).len(), 1);
+    /// assert_eq!(roster.take_recent(None), [roster.own()]);
+    /// ```
+    pub fn load(
+        &mut self,
+        now: Duration,
+        members: impl IntoIterator<Item = Member>,
+    ) -> Vec<Change> {
+        let changes = self.merge(now, members);
+        for change in &changes {
+            if change.key != self.own {
+                self.recent.remove(&change.key);
+            }
+        }
+        changes
+    }
+
     fn merge_one(&mut self, now: Duration, member: Member) {
         let Some(key) = self.try_find(&member.contact.instance) else {
             self.insert(now, member);
--- a/hitch-roster/src/roster.rs
+++ b/hitch-roster/src/roster.rs
@@ -42,6 +42,10 @@
     pub max_recent: usize,
     /// Number of missing members in one message.
     pub max_missing: usize,
+    /// The same in a message to a node that lacks whole buckets, as one that has just started.
+    pub max_missing_new: usize,
+    /// Time after start during which a node that is not ready does not pick itself as a reader.
+    pub settle_for: Duration,
     /// Time between two ticks after which the process counts as frozen; timeouts then start over.
     pub frozen_after: Duration,
     /// Addresses of peers known from settings or from the log.
@@ -63,7 +67,9 @@
             urgent_fanout: 4,
             urgent_interval: Duration::from_millis(200),
             max_recent: 32,
-            max_missing: 256,
+            max_missing: 64,
+            max_missing_new: 2048,
+            settle_for: Duration::from_secs(2),
             frozen_after: Duration::from_secs(3),
             seeds: Vec::new(),
         }
--- a/hitch-spread/src/fetch.rs
+++ b/hitch-spread/src/fetch.rs
@@ -62,6 +62,12 @@
     last_announce: Option<Duration>,
 }
 
+impl Fetching {
+    pub(crate) fn has_sources(&self) -> bool {
+        !self.sources.is_empty()
+    }
+}
+
 impl Spread {
     /// Takes in records that this node read from the log by a read begun at `asked_at`.
     ///
--- a/hitch-spread/src/spread.rs
+++ b/hitch-spread/src/spread.rs
@@ -113,4 +113,14 @@
     pub fn next_offset(&self) -> u64 {
         self.ring.next()
     }
+
+    /// Returns whether a peer is known that holds more records.
+    ///
+    /// ```
+    /// # use hitch_spread::*;
+    /// assert!(!Spread::new(Options::default()).is_behind());
+    /// ```
+    pub fn is_behind(&self) -> bool {
+        self.fetching.has_sources()
+    }
 }
