Add the node: calls from end to end, by a contract from the log

Cause: the plumbing crates decide, but nothing carried calls or configuration between processes. Change: hitch-node with caller, peer and admin listeners, a blackboard in shards, and controllers for the log, dissemination, membership, the backend server and ownership of idempotency keys. Before: no process but the log stand-in. Ruled out on the way: a first version waited 2 s on every node because no backend server can be ready before a version is in force; a starting backend server now counts as known.

--- /dev/null
+++ b/hitch-node/src/blackboard.rs
@@ -0,0 +1,119 @@
+//! The state of the node, which controllers and listeners read and write.
+//!
+//! Each section is under its own lock, and those that grow with customers and services are in shards.
+//! No lock is held while a task waits. Where two are held, the one on the configuration is taken first.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use hitch_config::State;
+use hitch_edge::Backend;
+use hitch_retry::Bucket;
+use hitch_retry::Budget;
+use hitch_roster::Roster;
+use hitch_route::Pool;
+use hitch_route::Switch;
+use hitch_route::Table;
+use hitch_spread::Spread;
+use tokio::sync::Notify;
+
+use crate::controller::ownership::Tail;
+use crate::gate::Gate;
+use crate::once;
+use crate::shards::Shards;
+
+/// Retries that a node may spend before it has seen calls that earn them.
+const INITIAL_RETRIES: u32 = 10;
+
+/// Configuration as folded, and the switch to the table in force.
+#[derive(Debug, Default)]
+pub struct Config {
+    /// Everything that follows from the records applied.
+    pub state: State,
+    /// Decides when the next table comes into force.
+    pub switch: Switch,
+    /// When the version in force came into force, in milliseconds since the Unix epoch.
+    pub in_force_at_ms: u64,
+}
+
+/// What the node knows about itself.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Own {
+    /// Whether the backend server accepts connections.
+    pub backend_up: bool,
+    /// Whether the node is leaving.
+    pub draining: bool,
+    /// Whether the node is ready to serve.
+    pub ready: bool,
+    /// Whether the last access to the log succeeded.
+    pub log_up: bool,
+}
+
+/// All sections.
+#[derive(Debug)]
+pub struct Blackboard {
+    /// Routes in force.
+    pub table: ArcSwap<Table>,
+    /// Configuration as folded.
+    pub config: Mutex<Config>,
+    /// Records of the log and their dissemination.
+    pub spread: Mutex<Spread>,
+    /// Membership.
+    pub roster: Mutex<Roster>,
+    /// Backend servers by service.
+    pub pools: Shards<Pool>,
+    /// Instances that own keys, by service and bucket, as other nodes said.
+    pub owners: Shards<BTreeMap<u8, Box<str>>>,
+    /// Queue at the own backend server, once its service is configured.
+    pub gate: ArcSwapOption<Gate>,
+    /// Connections to the own backend server, once its service is configured.
+    pub backend: ArcSwapOption<Backend>,
+    /// Keys of the own service.
+    pub once: Mutex<once::Section>,
+    /// Ownership records of all services, on a reader.
+    pub tail: Mutex<Tail>,
+    /// Retry budget of calls that enter here.
+    pub bucket: Mutex<Bucket>,
+    /// The node itself.
+    pub own: Mutex<Own>,
+    /// Wakes the membership controller.
+    pub membership_wake: Notify,
+    /// Signals that the configuration, the roster or the node itself changed.
+    pub changed: Notify,
+}
+
+impl Blackboard {
+    /// Makes the blackboard of a node that knows only itself.
+    ///
+    /// ```
+    /// # use hitch_roster::*;
+    /// let own = Member::starting(Incarnation([1; 16]), Contact::default());
+    /// let roster = Roster::new(own, Options::default());
+    /// let board = hitch_node::blackboard::Blackboard::new(roster, "i-1", [1; 16], 8);
+    /// assert_eq!(board.table.load().version(), 0);
+    /// ```
+    pub fn new(roster: Roster, instance: &str, incarnation: [u8; 16], shards: u32) -> Blackboard {
+        let mut bucket = Bucket::new(Default::default());
+        for _ in 0..INITIAL_RETRIES {
+            bucket.put_back(Budget::from_milli(1_000));
+        }
+        Blackboard {
+            table: ArcSwap::default(),
+            config: Mutex::default(),
+            spread: Mutex::new(Spread::new(Default::default())),
+            roster: Mutex::new(roster),
+            pools: Shards::new(shards),
+            owners: Shards::new(shards),
+            gate: ArcSwapOption::empty(),
+            backend: ArcSwapOption::empty(),
+            once: Mutex::new(once::Section::new(instance, incarnation)),
+            tail: Mutex::default(),
+            bucket: Mutex::new(bucket),
+            own: Mutex::default(),
+            membership_wake: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+}
--- /dev/null
+++ b/hitch-node/src/controller/apply.rs
@@ -0,0 +1,181 @@
+//! Applies records of the log and brings versions into force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hitch_config::State;
+use hitch_config::Verdict;
+use hitch_contract::Contract;
+use hitch_contract::Service;
+use hitch_edge::Backend;
+use hitch_edge::backend::Options;
+use hitch_event::Kind;
+use hitch_route::Table;
+use hitch_spread::Record;
+
+use crate::blackboard::Config;
+use crate::gate::Gate;
+use crate::node::Node;
+use crate::recorder::Subject;
+use crate::shards::lock;
+use crate::time::wall_ms;
+
+/// Time between two looks at a table that waits for backend servers.
+const PERIOD: Duration = Duration::from_millis(50);
+/// Longest time to open a connection to the backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Brings tables into force as soon as they may be, for as long as the node runs.
+///
+/// ```no_run
+/// # async fn run(node: std::sync::Arc<hitch_node::Node>) {
+/// hitch_node::controller::apply::run(node).await
+/// # }
+/// ```
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let changed = tokio::time::timeout(PERIOD, node.board.changed.notified())
+            .await
+            .is_ok();
+        if changed || lock(&node.board.config).switch.is_waiting() {
+            bring_into_force(&node);
+        }
+    }
+}
+
+/// What became of the records that were applied.
+pub(crate) type Verdicts = Vec<(u64, Verdict)>;
+
+/// Applies records in the order of their offsets. Older ones change nothing.
+pub(crate) fn records(node: &Node, config: &mut Config, records: &[Record]) -> Verdicts {
+    let mut verdicts = Vec::new();
+    for record in records {
+        match config.state.apply(record.offset, &record.data) {
+            Ok(Verdict::Old) => continue,
+            Ok(verdict) => verdicts.push((record.offset, verdict)),
+            Err(err) => {
+                slog::warn!(node.recorder.log(), "apply: {}", err);
+                break;
+            }
+        }
+    }
+    if !verdicts.is_empty() {
+        offer(node, config);
+    }
+    verdicts
+}
+
+/// Takes over a snapshot if it is ahead.
+pub(crate) fn adopt(node: &Node, config: &mut Config, state: State) {
+    if config.state.adopt(state) {
+        offer(node, config);
+    }
+}
+
+fn offer(node: &Node, config: &mut Config) {
+    let table = Table::compile(&config.state);
+    config.switch.offer(node.time.now(), table);
+}
+
+/// Records what became of records, and brings the newest table into force if it may be.
+pub(crate) fn finish(node: &Node, verdicts: Verdicts) {
+    for (offset, verdict) in verdicts {
+        note(node, offset, verdict);
+    }
+    bring_into_force(node);
+}
+
+fn note(node: &Node, offset: u64, verdict: Verdict) {
+    match verdict {
+        Verdict::Accepted { version } => {
+            let subject = Subject {
+                version,
+                call_id: "",
+            };
+            node.recorder
+                .record(Kind::Accepted, subject, "apply: change accepted");
+        }
+        Verdict::Refused(refusal) => {
+            let subject = Subject {
+                version: offset + 1,
+                call_id: "",
+            };
+            node.recorder.record(
+                Kind::Refused,
+                subject,
+                format!("apply: change refused: {refusal}"),
+            );
+        }
+        Verdict::Old => {}
+    }
+}
+
+/// Brings the newest table into force if it may be, and routes in or out of use whose service got its
+/// first or lost its last backend server.
+pub(crate) fn bring_into_force(node: &Node) {
+    let has_backend = |service: &str| {
+        node.board
+            .pools
+            .lock(service)
+            .get(service)
+            .is_some_and(|pool| !pool.is_empty())
+    };
+    let mut config = lock(&node.board.config);
+    let next = config.switch.poll(node.time.now(), has_backend);
+    let changed = next.is_some();
+    let now = node.table();
+    let next = match next {
+        Some(next) => next,
+        None if now.matches(has_backend) => return,
+        None => Table::clone(&now).with_services(has_backend),
+    };
+    if changed {
+        config.in_force_at_ms = wall_ms();
+    }
+    let version = next.version();
+    configure(node, &next);
+    // The lock on the configuration is held, so that an older table never replaces a newer one.
+    node.board.table.store(Arc::new(next));
+    drop(config);
+    if changed {
+        let subject = Subject {
+            version,
+            call_id: "",
+        };
+        node.recorder
+            .record(Kind::InForce, subject, "apply: version in force");
+    }
+}
+
+/// Configures the queue and the connections of the own backend server.
+fn configure(node: &Node, table: &Table) {
+    let settings = &node.settings.backend;
+    let Some(contract) = table.try_contract(&settings.customer) else {
+        return;
+    };
+    let Some(service) = contract
+        .services
+        .iter()
+        .find(|s| s.name == settings.service)
+    else {
+        return;
+    };
+    match node.board.gate.load_full() {
+        Some(gate) => gate.reconfigure(service, &contract.ranks),
+        None => open_gate(node, contract, service),
+    }
+}
+
+fn open_gate(node: &Node, contract: &Contract, service: &Service) {
+    let gate = Arc::new(Gate::new(node.time, service, &contract.ranks));
+    let options = Options {
+        connections: service.connections as usize,
+        connect_timeout: CONNECT_TIMEOUT,
+    };
+    let address = node.settings.backend.address.to_string();
+    node.board
+        .backend
+        .store(Some(Arc::new(Backend::at(&address, options))));
+    node.board.gate.store(Some(gate.clone()));
+    tokio::spawn(async move { gate.drive().await });
+}
--- /dev/null
+++ b/hitch-node/src/controller/membership.rs
@@ -0,0 +1,207 @@
+//! Drives the failure detector and carries what the roster learned to the pools.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hitch_event::Kind;
+use hitch_proto::peer::ProbeRequest;
+use hitch_roster::Change;
+use hitch_roster::Command;
+use hitch_roster::Member;
+use hitch_roster::MemberKey;
+use hitch_roster::State;
+use hitch_roster::detect::Peer;
+use hitch_route::Pool;
+use hitch_route::pool::Backend;
+use hitch_route::pool::Standing;
+use prost::Message;
+
+use crate::controller::exchange;
+use crate::listener::admin::state_name;
+use crate::node::Node;
+use crate::peers::Class;
+use crate::shards::lock;
+
+/// Time between two ticks of the failure detector.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Longest time of a probe through another member.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Ticks the roster for as long as the node runs.
+///
+/// ```no_run
+/// # async fn run(node: std::sync::Arc<hitch_node::Node>) {
+/// hitch_node::controller::membership::run(node).await
+/// # }
+/// ```
+pub async fn run(node: Arc<Node>) {
+    note_changes(&node, vec![own_change(&node)]);
+    loop {
+        let _ = tokio::time::timeout(PERIOD, node.board.membership_wake.notified()).await;
+        let (commands, changes) = {
+            let mut roster = lock(&node.board.roster);
+            let commands = roster.tick(node.time.now(), &mut rand::rng());
+            (commands, roster.take_changes())
+        };
+        note_changes(&node, changes);
+        for command in commands {
+            start(&node, command);
+        }
+    }
+}
+
+fn own_change(node: &Node) -> Change {
+    let roster = lock(&node.board.roster);
+    Change {
+        key: roster.own_key(),
+        before: None,
+        after: Some(roster.own()),
+    }
+}
+
+fn start(node: &Arc<Node>, command: Command) {
+    let node = node.clone();
+    match command {
+        Command::Exchange {
+            with: Peer::Seed(address),
+        } => {
+            tokio::spawn(async move { exchange::with_address(&node, &address).await });
+        }
+        Command::Exchange {
+            with: Peer::Member(key),
+        } => {
+            tokio::spawn(async move { exchange_with(&node, key).await });
+        }
+        Command::ProbeVia { target, via } => {
+            tokio::spawn(async move { probe(&node, target, via).await });
+        }
+    }
+}
+
+async fn exchange_with(node: &Arc<Node>, key: MemberKey) {
+    let Some(member) = lock(&node.board.roster).get(key) else {
+        return;
+    };
+    let answered = exchange::with_address(node, &member.contact.address).await;
+    report(node, key, answered);
+}
+
+async fn probe(node: &Arc<Node>, target: MemberKey, via: MemberKey) {
+    let (target_member, via_member) = {
+        let roster = lock(&node.board.roster);
+        (roster.get(target), roster.get(via))
+    };
+    let (Some(target_member), Some(via_member)) = (target_member, via_member) else {
+        return;
+    };
+    let ask = ask(node, &via_member, &target_member);
+    let answered = tokio::time::timeout(PROBE_TIMEOUT, ask)
+        .await
+        .unwrap_or(false);
+    report(node, target, answered);
+}
+
+async fn ask(node: &Node, via: &Member, target: &Member) -> bool {
+    let Ok(mut client) = node
+        .peers
+        .client(&via.contact.address, Class::Control)
+        .await
+    else {
+        return false;
+    };
+    let address = target.contact.address.to_string();
+    let req = ProbeRequest {
+        stamp: node.recorder.stamp(),
+        address,
+    };
+    node.metrics.control("probe", "sent", req.encoded_len());
+    match client.probe(req).await {
+        Ok(res) => res.into_inner().answered,
+        Err(_) => false,
+    }
+}
+
+fn report(node: &Node, key: MemberKey, answered: bool) {
+    let mut roster = lock(&node.board.roster);
+    match answered {
+        true => roster.answered(key),
+        false => roster.failed(node.time.now(), key),
+    }
+    let changes = roster.take_changes();
+    drop(roster);
+    note_changes(node, changes);
+}
+
+/// Records changes of members and brings them to the pools.
+pub(crate) fn note_changes(node: &Node, changes: Vec<Change>) {
+    if changes.is_empty() {
+        return;
+    }
+    for change in changes {
+        note(node, &change);
+        let before = change.before.as_ref();
+        if let Some(member) = before
+            && change.after.is_none()
+        {
+            remove(node, member);
+        }
+        if let Some(member) = &change.after {
+            upsert(node, member);
+        }
+    }
+    node.board.changed.notify_one();
+    // News of a member that leaves or refutes a suspicion must not wait for the next period.
+    node.board.membership_wake.notify_one();
+}
+
+fn note(node: &Node, change: &Change) {
+    let before = change
+        .before
+        .as_ref()
+        .map_or("unknown", |m| state_name(m.state));
+    let Some(after) = &change.after else { return };
+    let after_state = state_name(after.state);
+    if before == after_state {
+        return;
+    }
+    let text = format!(
+        "roster: {} {before} to {after_state}",
+        after.contact.instance
+    );
+    node.recorder.record(Kind::Member, Default::default(), text);
+}
+
+fn upsert(node: &Node, member: &Member) {
+    let contact = &member.contact;
+    if contact.service.is_empty() {
+        return;
+    }
+    if member.state == State::Gone {
+        node.peers.forget(&contact.address);
+        remove(node, member);
+        return;
+    }
+    let backend = Backend {
+        instance: contact.instance.clone(),
+        zone: contact.zone.clone(),
+        address: contact.address.clone(),
+        standing: match member.state {
+            State::Starting => Standing::Starting,
+            State::Ready => Standing::Accepting,
+            State::Draining | State::Suspect | State::Gone => Standing::Leaving,
+        },
+    };
+    let mut shard = node.board.pools.lock(&contact.service);
+    let pool = shard.entry(contact.service.clone());
+    pool.or_insert_with(|| Pool::new(&node.settings.zone))
+        .upsert(backend);
+}
+
+fn remove(node: &Node, member: &Member) {
+    let service = &member.contact.service;
+    let mut shard = node.board.pools.lock(service);
+    let Some(pool) = shard.get_mut(service) else {
+        return;
+    };
+    pool.remove(&member.contact.instance);
+}
--- /dev/null
+++ b/hitch-node/src/controller/mod.rs
@@ -0,0 +1,8 @@
+//! The controllers: tasks that read and write the blackboard and never call each other.
+
+pub mod apply;
+pub mod backend;
+pub mod exchange;
+pub mod membership;
+pub mod ownership;
+pub mod reader;
--- /dev/null
+++ b/hitch-node/src/controller/reader.rs
@@ -0,0 +1,161 @@
+//! Reads the configuration from the log, on the nodes that the roster picks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hitch_config::State;
+use hitch_event::Kind;
+use hitch_log::read::Error;
+use hitch_spread::Record;
+use rand::RngExt;
+
+use crate::controller::exchange;
+use crate::node::Node;
+use crate::shards::lock;
+
+/// Stream of the log that holds change records.
+pub const CONFIG_STREAM: &str = "config";
+/// Stream of the log that holds snapshots.
+pub const SNAPSHOT_STREAM: &str = "snapshots";
+/// Readers in each availability zone.
+pub const READERS_PER_ZONE: usize = 2;
+/// Longest time that the log holds a read open for new records.
+const WAIT: Duration = Duration::from_secs(2);
+/// Most records of one read.
+const MAX_RECORDS: u32 = 512;
+/// Time between two looks at whether this node is a reader.
+const IDLE: Duration = Duration::from_millis(200);
+/// First and longest pause after a failed read.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Reads the log whenever this node is a reader, for as long as it runs.
+///
+/// ```no_run
+/// # async fn run(node: std::sync::Arc<hitch_node::Node>) {
+/// hitch_node::controller::reader::run(node).await
+/// # }
+/// ```
+pub async fn run(node: Arc<Node>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        if !is_reader(&node) {
+            tokio::time::sleep(IDLE).await;
+            continue;
+        }
+        match read(&node).await {
+            Ok(()) => {
+                note_log(&node, true, "reader: the log answers");
+                pause = FIRST_PAUSE;
+            }
+            Err(Error::Trimmed { first, .. }) => {
+                recover(&node, first).await;
+                tokio::time::sleep(pause).await;
+            }
+            Err(err) => {
+                note_log(&node, false, &format!("reader: {err}"));
+                let jitter = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(pause.mul_f64(jitter)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Returns whether the roster picks this node to read the log.
+///
+/// ```no_run
+/// # fn run(node: hitch_node::Node) {
+/// assert!(hitch_node::controller::reader::is_reader(&node));
+/// # }
+/// ```
+pub fn is_reader(node: &Node) -> bool {
+    let roster = lock(&node.board.roster);
+    let readers = roster.readers(&node.settings.zone, READERS_PER_ZONE);
+    readers.contains(&roster.own_key())
+}
+
+async fn read(node: &Arc<Node>) -> Result<(), Error> {
+    let from = lock(&node.board.spread).next_offset();
+    let asked_at = node.time.now();
+    node.metrics.log_reads.inc();
+    let outcome = node
+        .log
+        .read(CONFIG_STREAM, from, MAX_RECORDS, WAIT)
+        .await?;
+    let at_end = outcome.records.len() < MAX_RECORDS as usize;
+    let next = outcome.next;
+    let mut records = Vec::new();
+    for record in outcome.records {
+        records.push(Record {
+            offset: record.offset,
+            data: record.data.as_ref().into(),
+        });
+    }
+    if !records.is_empty() {
+        let text = format!("reader: read {} records", records.len());
+        node.recorder.record(Kind::Read, Default::default(), text);
+    }
+    exchange::take_in(node, |spread, now| {
+        let outcome = spread.own_records(now, asked_at, records);
+        if at_end {
+            spread.confirmed(now, asked_at, next);
+        }
+        outcome
+    });
+    Ok(())
+}
+
+fn note_log(node: &Node, up: bool, text: &str) {
+    let was_up = std::mem::replace(&mut lock(&node.board.own).log_up, up);
+    if up != was_up {
+        node.recorder.record(Kind::Log, Default::default(), text);
+    }
+}
+
+/// Takes over the newest snapshot in the log after the records that this node needs were trimmed.
+async fn recover(node: &Arc<Node>, first: u64) {
+    let text = format!("reader: records before {first} are trimmed, looking for a snapshot");
+    node.recorder.record(Kind::Log, Default::default(), text);
+    let Some(state) = newest_snapshot(node).await else {
+        return;
+    };
+    if state.next_offset() < first {
+        slog::warn!(
+            node.recorder.log(),
+            "reader: the newest snapshot ends before record {}",
+            first
+        );
+    }
+    exchange::take_snapshot(node, None, state);
+}
+
+/// Reads the newest snapshot in the log.
+pub(crate) async fn newest_snapshot(node: &Node) -> Option<State> {
+    let mut from = 0;
+    let mut newest = None;
+    loop {
+        node.metrics.log_reads.inc();
+        match node
+            .log
+            .read(SNAPSHOT_STREAM, from, 1, Duration::ZERO)
+            .await
+        {
+            Ok(outcome) if outcome.records.is_empty() => return newest,
+            Ok(outcome) => {
+                from = outcome.next;
+                for record in outcome.records {
+                    match State::from_snapshot(&record.data) {
+                        Ok(state) => newest = Some(state),
+                        Err(err) => slog::warn!(node.recorder.log(), "reader: {}", err),
+                    }
+                }
+            }
+            Err(Error::Trimmed { first, .. }) => from = first,
+            Err(err) => {
+                slog::warn!(node.recorder.log(), "reader: {}", err);
+                return newest;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hitch-node/src/execute.rs
@@ -0,0 +1,231 @@
+//! Execution of a call by the node beside the backend server.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use hitch_admission::Finished;
+use hitch_admission::Reason;
+use hitch_edge::Backend;
+use hitch_edge::backend::Error;
+use hitch_edge::header;
+use hitch_event::Kind;
+use hitch_proto::peer;
+use hitch_proto::peer::CallReply;
+use hitch_proto::peer::CallRequest;
+use hitch_retry::NotRun;
+use hitch_retry::Outcome;
+use hitch_retry::Unknown;
+use http::Request;
+use http::Response;
+use tokio::time::Instant;
+
+use crate::arrival::is_refused_as_stale;
+use crate::gate::Permit;
+use crate::listener::caller::insert;
+use crate::node::Node;
+use crate::once;
+use crate::recorder::Subject;
+use crate::reply;
+
+/// Header by which a backend server says that it refused a call before it ran any of it.
+const SHED: &str = "x-hitch-shed";
+
+/// Runs a call on the own backend server, or refuses it.
+///
+/// ```no_run
+/// # async fn run(node: std::sync::Arc<hitch_node::Node>) {
+/// let req = hitch_proto::peer::CallRequest::default();
+/// let deadline = tokio::time::Instant::now() + std::time::Duration::from_secs(1);
+/// let reply = hitch_node::execute::run(&node, req, deadline).await;
+/// # }
+/// ```
+pub async fn run(node: &Arc<Node>, req: CallRequest, deadline: Instant) -> CallReply {
+    let reply = match check(node, &req).await {
+        Err(reason) => reply::refusal(Outcome::NotRun(reason)),
+        Ok(()) if req.idempotent => attempt(node, &req, deadline).await.reply,
+        Ok(()) => once::run(node, req, deadline).await,
+    };
+    seal(node, reply)
+}
+
+/// Adds to a reply what the sender learns from it.
+fn seal(node: &Node, mut reply: CallReply) -> CallReply {
+    reply.version = node.table().version();
+    let load = node.load();
+    reply.load = Some(peer::Load {
+        running: load.running,
+        queued: load.queued,
+        limit: load.limit,
+    });
+    reply.stamp = node.recorder.stamp();
+    reply
+}
+
+async fn check(node: &Arc<Node>, req: &CallRequest) -> Result<(), NotRun> {
+    if node.is_draining() {
+        return Err(NotRun::Draining);
+    }
+    if *req.service != *node.settings.backend.service {
+        return Err(NotRun::NoBackendServer);
+    }
+    node.catch_up_if_out_of_touch().await?;
+    node.catch_up_to(req.version, &req.from_instance).await?;
+    let table = node.table();
+    let contract = table
+        .try_contract(&req.customer)
+        .ok_or(NotRun::UnknownCustomer)?;
+    if !req.idempotent && is_refused_as_stale(node, contract) {
+        return Err(NotRun::Stale);
+    }
+    if node.is_crash_suspect(req) {
+        return Err(NotRun::CrashSuspect);
+    }
+    Ok(())
+}
+
+/// What became of one attempt on the backend server.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    /// The reply to the sender.
+    pub(crate) reply: CallReply,
+    /// Whether a byte of the call can have reached the backend server.
+    pub(crate) handed_over: bool,
+}
+
+impl Attempt {
+    fn not_run(reason: NotRun) -> Attempt {
+        Attempt {
+            reply: reply::refusal(Outcome::NotRun(reason)),
+            handed_over: false,
+        }
+    }
+}
+
+/// Waits for a slot and runs the call once. Dropping the future leaves the queue or cancels the call.
+pub(crate) async fn attempt(node: &Arc<Node>, req: &CallRequest, deadline: Instant) -> Attempt {
+    let Some((gate, backend)) = node.gate_and_backend() else {
+        return Attempt::not_run(NotRun::NotReady);
+    };
+    if !node.admit(&req.customer, &req.rank) {
+        return Attempt::not_run(NotRun::OverAdmit);
+    }
+    let permit = match gate.enter(&req.rank, node.time.since_start(deadline)).await {
+        Ok(permit) => permit,
+        Err(reason) => return Attempt::not_run(refused_as(reason)),
+    };
+    let subject = Subject {
+        version: req.version,
+        call_id: &req.call_id,
+    };
+    node.recorder.record(
+        Kind::Running,
+        subject,
+        "execute: handed to the backend server",
+    );
+    let handed_over = AtomicBool::new(false);
+    let began = Instant::now();
+    let on_hand_over = || handed_over.store(true, Ordering::Relaxed);
+    let result = tokio::select! {
+        result = call(&backend, req, deadline, on_hand_over) => result,
+        () = permit.cancelled() => Err(Error::Late { peer: "backend server".into() }),
+    };
+    // A cancellation can come before the first byte, while the call waits for a connection.
+    let handed_over =
+        handed_over.load(Ordering::Relaxed) && !result.as_ref().is_err_and(Error::is_not_run);
+    end(permit, began, &result);
+    to_attempt(result, handed_over)
+}
+
+fn end(permit: Permit, began: Instant, result: &Result<Response<Bytes>, Error>) {
+    permit.finish(match result {
+        Ok(res) if is_shed(res) => Finished::Shed,
+        Ok(res) if res.status().is_server_error() => Finished::Failed,
+        Ok(_) => Finished::Answered {
+            latency: began.elapsed(),
+        },
+        Err(Error::Late { .. }) => Finished::Cancelled,
+        Err(_) => Finished::Failed,
+    });
+}
+
+fn is_shed(res: &Response<Bytes>) -> bool {
+    res.status() == http::StatusCode::SERVICE_UNAVAILABLE && res.headers().contains_key(SHED)
+}
+
+fn to_attempt(result: Result<Response<Bytes>, Error>, handed_over: bool) -> Attempt {
+    let err = match result {
+        Ok(res) if is_shed(&res) => return Attempt::not_run(NotRun::QueueFull),
+        Ok(res) => {
+            return Attempt {
+                reply: reply::answer(res),
+                handed_over,
+            };
+        }
+        Err(err) => err,
+    };
+    if !handed_over {
+        let reason = match err {
+            Error::Connect { .. } => NotRun::BackendRefused,
+            _ => NotRun::Deadline,
+        };
+        return Attempt::not_run(reason);
+    }
+    let reason = match err {
+        Error::Short { .. } => Unknown::ShortAnswer,
+        Error::Crossed { .. } => Unknown::CrossedAnswer,
+        Error::Late { .. } => Unknown::Deadline,
+        Error::Lost { .. } | Error::Connect { .. } | Error::NoConnection { .. } => {
+            Unknown::ConnectionLost
+        }
+    };
+    let mut reply = reply::refusal(Outcome::Unknown(reason));
+    reply.crashed = err.is_crash();
+    Attempt { reply, handed_over }
+}
+
+fn refused_as(reason: Reason) -> NotRun {
+    match reason {
+        Reason::Deadline => NotRun::Deadline,
+        Reason::Draining => NotRun::Draining,
+        Reason::UnknownRank => NotRun::Malformed,
+        Reason::Target | Reason::Full | Reason::Displaced => NotRun::QueueFull,
+    }
+}
+
+async fn call(
+    backend: &Backend,
+    req: &CallRequest,
+    deadline: Instant,
+    on_hand_over: impl FnOnce(),
+) -> Result<Response<Bytes>, Error> {
+    let peer = || Box::from("backend server");
+    let head = Request::builder()
+        .method(req.method.as_str())
+        .uri(req.path_and_query.as_str());
+    let mut http_req = head.body(req.body.clone()).map_err(|err| Error::Connect {
+        peer: peer(),
+        detail: err.to_string().into(),
+    })?;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let headers = http_req.headers_mut();
+    reply::from_wire(&req.headers, headers);
+    insert(headers, "host", "backend");
+    insert(headers, header::CUSTOMER, &req.customer);
+    insert(headers, header::RANK, &req.rank);
+    insert(headers, header::DEADLINE_MS, &left.as_millis().to_string());
+    insert(headers, header::DEPTH, &(req.depth + 1).to_string());
+    insert(
+        headers,
+        header::RETRY_BUDGET,
+        &req.retry_budget_milli.to_string(),
+    );
+    insert(headers, header::CALL_ID, &req.call_id);
+    if !req.key.is_empty() {
+        insert(headers, header::KEY, &req.key);
+    }
+    backend
+        .run(http_req, &req.call_id, deadline, on_hand_over)
+        .await
+}
--- a/hitch-node/src/lib.rs
+++ b/hitch-node/src/lib.rs
@@ -1,3 +1,31 @@
 //! The node beside a backend server.
+//!
+//! Listeners and controllers share a [`Node`] and read and write its blackboard. The decisions are made
+//! by the plumbing crates; this crate does the I/O.
+//!
+//! ```
+//! let settings = hitch_settings::node::Settings::from_bytes("node.yaml", b"instance: i-1");
+//! assert!(settings.is_err());
+//! ```
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod arrival;
+pub mod blackboard;
+pub mod controller;
+pub mod execute;
+pub mod forward;
+pub mod gate;
+pub mod listener;
+pub mod metrics;
+pub mod node;
+pub mod once;
+pub mod peers;
+pub mod recorder;
+pub mod reply;
+pub mod run;
+pub mod shards;
+pub mod time;
+pub mod wire;
+
+pub use node::Node;
--- /dev/null
+++ b/hitch-node/src/listener/mod.rs
@@ -0,0 +1,5 @@
+//! The listeners of a node.
+
+pub mod admin;
+pub mod caller;
+pub mod peer;
--- /dev/null
+++ b/hitch-node/src/metrics.rs
@@ -0,0 +1,165 @@
+//! Metrics of a node.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Labels of a call's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// Customer of the call.
+    pub customer: String,
+    /// Rank of the call.
+    pub rank: String,
+    /// Outcome of the call: `answered`, `not-run` or `unknown`.
+    pub outcome: &'static str,
+    /// Reason of the outcome, empty for an answer.
+    pub reason: &'static str,
+}
+
+/// Labels of control traffic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ControlLabels {
+    /// Kind of message: `exchange`, `fetch`, `share`, `ownership`, `suspect`, `probe` or `log`.
+    pub kind: &'static str,
+    /// Direction: `sent` or `received`.
+    pub direction: &'static str,
+}
+
+/// The metrics and their registry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Calls that ended at the node at which they entered the mesh.
+    pub calls: Family<CallLabels, Counter>,
+    /// Time from arrival to answer at the node at which a call entered the mesh, in seconds.
+    pub call_seconds: Histogram,
+    /// Attempts handed over after the first one of a call.
+    pub retries: Counter,
+    /// Bytes of control messages, as encoded, without the framing of the transport.
+    pub control_bytes: Family<ControlLabels, Counter>,
+    /// Reads of the log.
+    pub log_reads: Counter,
+    /// Appends to the log.
+    pub log_appends: Counter,
+    /// Version in force.
+    pub version_in_force: Gauge<u64, AtomicU64>,
+    /// Members of the roster that are not gone.
+    pub members: Gauge<u64, AtomicU64>,
+    /// Calls that wait in the queue.
+    pub queued: Gauge<u64, AtomicU64>,
+    /// Calls that run on the backend server.
+    pub running: Gauge<u64, AtomicU64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        // 0.1 ms to about 50 s.
+        let seconds = Histogram::new(exponential_buckets(0.000_1, 2.0, 20));
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("hitch"),
+            calls: Family::default(),
+            call_seconds: seconds,
+            retries: Counter::default(),
+            control_bytes: Family::default(),
+            log_reads: Counter::default(),
+            log_appends: Counter::default(),
+            version_in_force: Gauge::default(),
+            members: Gauge::default(),
+            queued: Gauge::default(),
+            running: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("calls", "Calls by outcome", self.calls.clone());
+        r.register(
+            "call_seconds",
+            "Time from arrival to answer",
+            self.call_seconds.clone(),
+        );
+        r.register("retries", "Attempts after the first", self.retries.clone());
+        r.register(
+            "control_bytes",
+            "Bytes of control messages",
+            self.control_bytes.clone(),
+        );
+        r.register("log_reads", "Reads of the log", self.log_reads.clone());
+        r.register(
+            "log_appends",
+            "Appends to the log",
+            self.log_appends.clone(),
+        );
+        r.register(
+            "version_in_force",
+            "Version in force",
+            self.version_in_force.clone(),
+        );
+        r.register("members", "Members that are not gone", self.members.clone());
+        r.register("queued", "Calls that wait", self.queued.clone());
+        r.register("running", "Calls that run", self.running.clone());
+    }
+
+    /// Counts a control message of `bytes`.
+    ///
+    /// ```
+    /// let metrics = hitch_node::metrics::Metrics::default();
+    /// metrics.control("exchange", "sent", 120);
+    /// assert_eq!(metrics.control_total(), 120);
+    /// ```
+    pub fn control(&self, kind: &'static str, direction: &'static str, bytes: usize) {
+        let labels = ControlLabels { kind, direction };
+        self.control_bytes
+            .get_or_create(&labels)
+            .inc_by(bytes as u64);
+    }
+
+    /// Returns the bytes of all control messages so far, sent and received.
+    ///
+    /// ```
+    /// assert_eq!(hitch_node::metrics::Metrics::default().control_total(), 0);
+    /// ```
+    pub fn control_total(&self) -> u64 {
+        let mut total = 0;
+        for kind in [
+            "exchange",
+            "fetch",
+            "share",
+            "ownership",
+            "suspect",
+            "probe",
+            "log",
+        ] {
+            for direction in ["sent", "received"] {
+                let labels = ControlLabels { kind, direction };
+                total += self.control_bytes.get_or_create(&labels).get();
+            }
+        }
+        total
+    }
+
+    /// Encodes the metrics in the text format of OpenMetrics.
+    ///
+    /// ```
+    /// let text = hitch_node::metrics::Metrics::default().to_text();
+    /// assert!(text.contains("hitch_version_in_force"));
+    /// ```
+    pub fn to_text(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut out, &self.registry);
+        out
+    }
+}
--- /dev/null
+++ b/hitch-node/src/once.rs
@@ -0,0 +1,151 @@
+//! Execution of non-idempotent calls, each key at most once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hitch_once::Holder;
+use hitch_once::Incarnation;
+use hitch_once::Key;
+use hitch_once::Map;
+use hitch_once::Offered;
+use hitch_once::Refused;
+use hitch_once::Table;
+use hitch_proto::peer::CallReply;
+use hitch_proto::peer::CallRequest;
+use hitch_retry::NotRun;
+use hitch_retry::Outcome;
+use hitch_retry::Unknown;
+use prost::Message;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::execute;
+use crate::node::Node;
+use crate::reply;
+use crate::shards::lock;
+
+/// Keys of the service beside this node.
+#[derive(Debug)]
+pub struct Section {
+    /// Who owns which keys, as far as the log was read.
+    pub map: Map,
+    /// Keys and answers of this incarnation.
+    pub table: Table<CallReply>,
+    /// Calls that run now, for others with the same key to join.
+    running: BTreeMap<Key, watch::Receiver<Option<CallReply>>>,
+}
+
+impl Section {
+    /// Makes the section of a new incarnation.
+    ///
+    /// ```
+    /// let section = hitch_node::once::Section::new("i-1", [1; 16]);
+    /// assert!(section.table.is_empty());
+    /// ```
+    pub fn new(instance: &str, incarnation: [u8; 16]) -> Section {
+        let me = Holder {
+            instance: instance.into(),
+            incarnation: Incarnation(incarnation),
+        };
+        let table = Table::new(me, Default::default());
+        Section {
+            map: Map::new(0),
+            table,
+            running: BTreeMap::new(),
+        }
+    }
+}
+
+enum Entered {
+    Run(watch::Sender<Option<CallReply>>),
+    Join(watch::Receiver<Option<CallReply>>),
+    Done(CallReply),
+}
+
+/// Runs a call unless its key was taken before; then returns the answer of the first run.
+///
+/// The call goes on when its caller leaves, so that a resend with the same key gets its answer.
+pub(crate) async fn run(node: &Arc<Node>, req: CallRequest, deadline: Instant) -> CallReply {
+    let Ok(key) = Key::parse(&req.key) else {
+        return reply::refusal(Outcome::NotRun(NotRun::InvalidKey));
+    };
+    let mut rx = match enter(node, key, &req) {
+        Entered::Done(reply) => return reply,
+        Entered::Join(rx) => rx,
+        Entered::Run(tx) => {
+            let rx = tx.subscribe();
+            tokio::spawn(run_owned(node.clone(), key, req, deadline, tx));
+            rx
+        }
+    };
+    let late = || reply::refusal(Outcome::Unknown(Unknown::Deadline));
+    match tokio::time::timeout_at(deadline, rx.wait_for(Option::is_some)).await {
+        Ok(Ok(reply)) => reply.clone().unwrap_or_else(late),
+        Ok(Err(_)) => reply::refusal(Outcome::Unknown(Unknown::ConnectionLost)),
+        Err(_) => late(),
+    }
+}
+
+fn enter(node: &Node, key: Key, req: &CallRequest) -> Entered {
+    let mut section = lock(&node.board.once);
+    let Section {
+        map,
+        table,
+        running,
+    } = &mut *section;
+    let refused = |outcome| Entered::Done(reply::refusal(outcome));
+    match table.offer(map, key, hash(req)) {
+        Offered::Run => {
+            let (tx, rx) = watch::channel(None);
+            running.insert(key, rx);
+            Entered::Run(tx)
+        }
+        Offered::Join => match running.get(&key) {
+            Some(rx) => Entered::Join(rx.clone()),
+            None => refused(Outcome::Unknown(Unknown::ConnectionLost)),
+        },
+        Offered::Answer(reply) => Entered::Done(reply),
+        Offered::KeyReused => refused(Outcome::NotRun(NotRun::KeyReused)),
+        Offered::Refused(Refused::Unknown) => refused(Outcome::Unknown(Unknown::OwnerLost)),
+        Offered::Refused(Refused::NotRun { owner: None }) => {
+            refused(Outcome::NotRun(NotRun::NoOwner))
+        }
+        Offered::Refused(Refused::NotRun { owner: Some(owner) }) => {
+            let mut reply = reply::refusal(Outcome::NotRun(NotRun::NotOwner));
+            reply.owner_instance = owner.instance.to_string();
+            Entered::Done(reply)
+        }
+    }
+}
+
+async fn run_owned(
+    node: Arc<Node>,
+    key: Key,
+    req: CallRequest,
+    deadline: Instant,
+    tx: watch::Sender<Option<CallReply>>,
+) {
+    let attempt = execute::attempt(&node, &req, deadline).await;
+    let mut section = lock(&node.board.once);
+    match reply::outcome(&attempt.reply) {
+        Outcome::Answered => {
+            let bytes = attempt.reply.encoded_len();
+            section.table.ran(key, attempt.reply.clone(), bytes);
+        }
+        Outcome::NotRun(_) if !attempt.handed_over => section.table.not_handed_over(key),
+        Outcome::NotRun(_) | Outcome::Unknown(_) => section.table.lost(key),
+    }
+    section.running.remove(&key);
+    // Nobody may be waiting any more.
+    let _ = tx.send(Some(attempt.reply));
+}
+
+/// Hashes what must be the same when a key comes again.
+fn hash(req: &CallRequest) -> u64 {
+    let mut hash = 0;
+    for part in [&req.customer, &req.method, &req.path_and_query] {
+        hash = xxh3_64_with_seed(part.as_bytes(), hash);
+    }
+    xxh3_64_with_seed(&req.body, hash)
+}
--- /dev/null
+++ b/hitch-node/src/wire.rs
@@ -0,0 +1,104 @@
+//! Conversion between the messages of the peer protocol and the types of the plumbing crates.
+
+use hitch_proto::peer;
+use hitch_roster::Contact;
+use hitch_roster::Digest;
+use hitch_roster::Incarnation;
+use hitch_roster::Member;
+use hitch_roster::State;
+use hitch_roster::digest::BUCKETS;
+
+/// Converts a member to its message.
+///
+/// ```
+/// use hitch_roster::*;
+///
+/// let member = Member::starting(Incarnation([1; 16]), Contact::default());
+/// let wire = hitch_node::wire::from_member(&member);
+/// assert_eq!(hitch_node::wire::to_member(wire), Some(member));
+/// ```
+pub fn from_member(member: &Member) -> peer::Member {
+    let state = match member.state {
+        State::Starting => peer::MemberState::Starting,
+        State::Ready => peer::MemberState::Ready,
+        State::Draining => peer::MemberState::Draining,
+        State::Suspect => peer::MemberState::Suspect,
+        State::Gone => peer::MemberState::Gone,
+    };
+    let contact = &member.contact;
+    peer::Member {
+        instance: contact.instance.to_string(),
+        incarnation: member.incarnation.0.to_vec(),
+        sequence: member.sequence,
+        state: state.into(),
+        zone: contact.zone.to_string(),
+        region: contact.region.to_string(),
+        address: contact.address.to_string(),
+        service: contact.service.to_string(),
+        customer: contact.customer.to_string(),
+        admin: contact.admin.to_string(),
+    }
+}
+
+/// Converts a message to a member, or nothing when it is not a valid one.
+///
+/// ```
+/// assert_eq!(hitch_node::wire::to_member(Default::default()), None);
+/// ```
+pub fn to_member(wire: peer::Member) -> Option<Member> {
+    let state = match wire.state() {
+        peer::MemberState::Unspecified => return None,
+        peer::MemberState::Starting => State::Starting,
+        peer::MemberState::Ready => State::Ready,
+        peer::MemberState::Draining => State::Draining,
+        peer::MemberState::Suspect => State::Suspect,
+        peer::MemberState::Gone => State::Gone,
+    };
+    let incarnation = Incarnation(wire.incarnation.as_slice().try_into().ok()?);
+    let contact = Contact {
+        instance: wire.instance.into(),
+        region: wire.region.into(),
+        zone: wire.zone.into(),
+        address: wire.address.into(),
+        admin: wire.admin.into(),
+        service: wire.service.into(),
+        customer: wire.customer.into(),
+    };
+    Some(Member {
+        incarnation,
+        sequence: wire.sequence,
+        state,
+        contact: contact.into(),
+    })
+}
+
+/// Converts messages to members, and leaves out those that are not valid.
+///
+/// ```
+/// assert!(hitch_node::wire::to_members(Vec::new()).is_empty());
+/// ```
+pub fn to_members(wire: impl IntoIterator<Item = peer::Member>) -> Vec<Member> {
+    wire.into_iter().filter_map(to_member).collect()
+}
+
+/// Converts a digest of the roster to its message.
+///
+/// ```
+/// let digest = hitch_roster::Digest([0; 64]);
+/// assert_eq!(hitch_node::wire::from_digest(&digest).bucket_hashes.len(), 64);
+/// ```
+pub fn from_digest(digest: &Digest) -> peer::RosterDigest {
+    peer::RosterDigest {
+        bucket_hashes: digest.0.to_vec(),
+    }
+}
+
+/// Converts a message to a digest of the roster, or nothing when it is not a valid one.
+///
+/// ```
+/// assert!(hitch_node::wire::to_digest(Default::default()).is_none());
+/// ```
+pub fn to_digest(wire: peer::RosterDigest) -> Option<Digest> {
+    let hashes: [u64; BUCKETS] = wire.bucket_hashes.try_into().ok()?;
+    Some(Digest(hashes))
+}
--- a/hitch-route/src/pool.rs
+++ b/hitch-route/src/pool.rs
@@ -33,6 +33,17 @@
 /// Latency assumed for a backend server that has not answered yet.
 const UNKNOWN_LATENCY: Duration = Duration::from_millis(5);
 
+/// Whether a backend server takes calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It starts and will take calls soon.
+    Starting,
+    /// It takes new calls.
+    Accepting,
+    /// It is leaving, suspected or gone.
+    Leaving,
+}
+
 /// What the membership says of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Backend {
@@ -42,8 +53,14 @@
     pub zone: Box<str>,
     /// Address of the node's peer listener.
     pub address: Box<str>,
-    /// Whether new calls may go there.
-    pub accepts: bool,
+    /// Whether it takes calls.
+    pub standing: Standing,
+}
+
+impl Backend {
+    fn accepts(&self) -> bool {
+        self.standing == Standing::Accepting
+    }
 }
 
 /// The load that a node reports on its answers.
@@ -118,22 +135,29 @@
         }
     }
 
-    /// Returns whether no backend server accepts calls.
+    /// Returns whether no backend server takes calls now or soon.
+    ///
+    /// One that starts counts: a fleet that starts as a whole brings its first version into force before
+    /// any of its backend servers can announce that it is ready.
     ///
     /// ```
     /// assert!(hitch_route::Pool::new("a").is_empty());
     /// ```
     pub fn is_empty(&self) -> bool {
-        !self.entries.values().any(|e| e.backend.accepts)
+        !self
+            .entries
+            .values()
+            .any(|e| e.backend.standing != Standing::Leaving)
     }
 
     /// Adds a backend server or takes over what changed about it. What was observed of it is kept
     /// unless its address changed.
     ///
     /// ```
-    /// # use hitch_route::pool::Backend;
-    /// let mut pool = hitch_route::Pool::new("a");
-    /// pool.upsert(Backend { instance: "i-1".into(), zone: "a".into(), address: "x".into(), accepts: true });
+    /// # use hitch_route::pool::*;
+    /// let mut pool = Pool::new("a");
+    /// let standing = Standing::Accepting;
+    /// pool.upsert(Backend { instance: "i-1".into(), zone: "a".into(), address: "x".into(), standing });
     /// assert!(!pool.is_empty());
     /// ```
     pub fn upsert(&mut self, backend: Backend) {
@@ -206,7 +230,10 @@
     /// ```
     pub fn try_find(&self, instance: &str) -> Option<Pick> {
         let key = *self.by_instance.get(instance)?;
-        self.entries[key].backend.accepts.then(|| self.to_pick(key))
+        self.entries[key]
+            .backend
+            .accepts()
+            .then(|| self.to_pick(key))
     }
 
     /// Notes that a call was handed over.
@@ -278,7 +305,7 @@
         let mut ejected = Vec::new();
         let mut accepting = 0usize;
         for (key, entry) in &self.entries {
-            if !entry.backend.accepts {
+            if !entry.backend.accepts() {
                 continue;
             }
             accepting += 1;
--- a/hitch-route/src/switch.rs
+++ b/hitch-route/src/switch.rs
@@ -48,6 +48,15 @@
         self.held = Some(Held { since, table });
     }
 
+    /// Returns whether a table waits.
+    ///
+    /// ```
+    /// assert!(!hitch_route::Switch::default().is_waiting());
+    /// ```
+    pub fn is_waiting(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Returns the table that comes into force now, if there is one.
     ///
     /// ```
--- a/hitch-route/tests/it/pool.rs
+++ b/hitch-route/tests/it/pool.rs
@@ -5,6 +5,7 @@
 use hitch_route::Pool;
 use hitch_route::pool::Backend;
 use hitch_route::pool::Finished;
+use hitch_route::pool::Standing;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
@@ -23,7 +24,7 @@
         instance: format!("i-{i}").into(),
         zone: zone.into(),
         address: format!("n-{i}").into(),
-        accepts: true,
+        standing: Standing::Accepting,
     }
 }
 
@@ -94,7 +95,7 @@
 fn leaving_backend_is_not_chosen() {
     let mut pool = pool(&["a"]);
     pool.upsert(Backend {
-        accepts: false,
+        standing: Standing::Leaving,
         ..backend(0, "a")
     });
     let mut rng = ChaCha8Rng::seed_from_u64(7);
@@ -102,3 +103,17 @@
     assert!(pool.try_find("i-0").is_none());
     assert!(pool.is_empty());
 }
+
+/// Guards against calls to a backend server that is not ready, and against a first version that waits
+/// for backend servers which cannot be ready before it is in force.
+#[test]
+fn starting_backend_is_known_but_not_chosen() {
+    let mut pool = Pool::new("a");
+    pool.upsert(Backend {
+        standing: Standing::Starting,
+        ..backend(0, "a")
+    });
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    assert!(!pool.is_empty());
+    assert!(pool.pick(MS, &mut rng, &[]).is_none());
+}
