Give the contract of the version tests a rank

Cause: a contract without ranks is refused since the checks of contracts are complete, so four tests of hitch-config used a contract that is not valid any more. Change: their contract has one rank; no assertion changed.

--- a/hitch-config/tests/it/main.rs
+++ b/hitch-config/tests/it/main.rs
@@ -8,7 +8,7 @@
 /// Makes a change whose contract has one service and one route.
 pub fn change(id: u128, customer: &str, based_on: u64, service: &str) -> Change {
     let contract = format!(
-        "customer: {customer}\nlands_within: 10s\nranks: []\nservices:\n  - {{ name: {service}, slots: 2, connections: 4 }}\nroutes:\n  - {{ method: GET, path: /{service}, service: {service}, idempotent: true, deadline: 1s }}\n"
+        "customer: {customer}\nlands_within: 10s\nranks:\n  - {{ name: fee, target_latency: 150ms, worth: 1, share: 30%, admit: 9/s }}\nservices:\n  - {{ name: {service}, slots: 2, connections: 4 }}\nroutes:\n  - {{ method: GET, path: /{service}, service: {service}, idempotent: true, deadline: 1s }}\n"
     );
     Change {
         change_id: Uuid::from_u128(id),
