--- a/hitch-edge/src/header.rs
+++ b/hitch-edge/src/header.rs
@@ -18,6 +18,17 @@
 /// Idempotency key of a non-idempotent call.
 pub const KEY: &str = "idempotency-key";
 
+/// Headers that the node sets itself.
+const MESH: [&str; 7] = [
+    CUSTOMER,
+    RANK,
+    DEADLINE_MS,
+    DEPTH,
+    RETRY_BUDGET,
+    CALL_ID,
+    KEY,
+];
+
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -32,7 +43,7 @@
 ];
 
 /// Iterates over the headers that are passed on: all but those of one connection, the framing, and
-/// the headers of the mesh.
+/// those that the node sets itself.
 ///
 /// ```
 /// let mut headers = http::HeaderMap::new();
@@ -54,8 +65,7 @@
         !HOP_BY_HOP.contains(&name)
             && name != "content-length"
             && name != "host"
-            && name != KEY
-            && !name.starts_with("x-hitch-")
+            && !MESH.contains(&name)
             && !named.iter().any(|n| n == name)
     })
 }
--- a/hitch-node/src/blackboard.rs
+++ b/hitch-node/src/blackboard.rs
@@ -18,6 +18,7 @@
 use hitch_route::Table;
 use hitch_spread::Spread;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::controller::ownership::Tail;
 use crate::gate::Gate;
@@ -78,6 +79,10 @@
     pub bucket: Mutex<Bucket>,
     /// The node itself.
     pub own: Mutex<Own>,
+    /// Wakes the ownership controller, which pulls at once.
+    pub ownership_wake: Notify,
+    /// Counts the pulls of ownership that succeeded.
+    pub ownership_pulls: watch::Sender<u64>,
     /// Wakes the membership controller.
     pub membership_wake: Notify,
     /// Signals that the configuration, the roster or the node itself changed.
@@ -112,6 +117,8 @@
             tail: Mutex::default(),
             bucket: Mutex::new(bucket),
             own: Mutex::default(),
+            ownership_wake: Notify::new(),
+            ownership_pulls: watch::Sender::new(0),
             membership_wake: Notify::new(),
             changed: Notify::new(),
         }
--- a/hitch-node/src/controller/mod.rs
+++ b/hitch-node/src/controller/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod apply;
 pub mod backend;
+pub mod contact;
 pub mod exchange;
 pub mod membership;
 pub mod ownership;
 pub mod reader;
+pub mod snapshot;
--- a/hitch-node/src/controller/ownership.rs
+++ b/hitch-node/src/controller/ownership.rs
@@ -159,7 +159,12 @@
 async fn read_tail(node: &Node) -> Result<(), Error> {
     let from = lock(&node.board.tail).next_offset;
     node.metrics.log_reads.inc();
-    let outcome = match node.log.read(STREAM, from, MAX_RECORDS, WAIT).await {
+    let wait = if lock(&node.board.tail).reached_end {
+        WAIT
+    } else {
+        Duration::ZERO
+    };
+    let outcome = match node.log.read(STREAM, from, MAX_RECORDS, wait).await {
         Err(Error::Trimmed { first, .. }) => {
             // Which records were trimmed is not known, so nothing that they granted counts.
             let mut tail = lock(&node.board.tail);
@@ -170,7 +175,8 @@
         outcome => outcome?,
     };
     let mut tail = lock(&node.board.tail);
-    tail.reached_end = outcome.records.len() < MAX_RECORDS as usize;
+    // An answer may be cut short by its size, so only one without records shows the end.
+    tail.reached_end |= outcome.records.is_empty();
     for record in outcome.records {
         tail.push(record.offset, record.time_ms, record.data);
     }
@@ -189,7 +195,7 @@
     let mut own = Own::new(&node);
     loop {
         let pause = own.step().await;
-        tokio::time::sleep(pause).await;
+        let _ = tokio::time::timeout(pause, node.board.ownership_wake.notified()).await;
     }
 }
 
@@ -317,12 +323,12 @@
                 .read(STREAM, self.covered, MAX_RECORDS, Duration::ZERO)
                 .await;
             let Ok(outcome) = read else { return PAUSE };
-            let more = outcome.records.len() == MAX_RECORDS as usize;
+            let at_end = outcome.records.is_empty();
             for record in outcome.records {
                 self.apply(record.offset, &record.data);
             }
             self.covered = self.covered.max(outcome.next);
-            if !more {
+            if at_end {
                 self.planner.read_to_end();
                 return URGENT_PERIOD;
             }
@@ -348,6 +354,10 @@
         }
         self.covered = self.covered.max(reply.next_offset);
         lock(&self.node.board.once).map.confirm();
+        self.node
+            .board
+            .ownership_pulls
+            .send_modify(|pulls| *pulls += 1);
         true
     }
 
--- a/hitch-node/src/controller/reader.rs
+++ b/hitch-node/src/controller/reader.rs
@@ -25,6 +25,10 @@
 const MAX_RECORDS: u32 = 512;
 /// Time between two looks at whether this node is a reader.
 const IDLE: Duration = Duration::from_millis(200);
+/// Offset that no stream reaches.
+const BEYOND_END: u64 = u64::MAX / 2;
+/// Snapshots that are tried, the newest first, when one cannot be decoded.
+const SNAPSHOT_TRIES: usize = 3;
 /// First and longest pause after a failed read.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -38,13 +42,17 @@
 /// ```
 pub async fn run(node: Arc<Node>) {
     let mut pause = FIRST_PAUSE;
+    let mut wait = Duration::ZERO;
     loop {
         if !is_reader(&node) {
             tokio::time::sleep(IDLE).await;
             continue;
         }
-        match read(&node).await {
-            Ok(()) => {
+        match read(&node, wait).await {
+            Ok(at_end) => {
+                // After records the log is asked at once whether there are more. An answer may be cut
+                // short by its size, so only one without records shows the end.
+                wait = if at_end { WAIT } else { Duration::ZERO };
                 note_log(&node, true, "reader: the log answers");
                 pause = FIRST_PAUSE;
             }
@@ -75,15 +83,16 @@
     readers.contains(&roster.own_key())
 }
 
-async fn read(node: &Arc<Node>) -> Result<(), Error> {
+/// Reads once, and returns whether the end of the log was reached.
+async fn read(node: &Arc<Node>, wait: Duration) -> Result<bool, Error> {
     let from = lock(&node.board.spread).next_offset();
     let asked_at = node.time.now();
     node.metrics.log_reads.inc();
     let outcome = node
         .log
-        .read(CONFIG_STREAM, from, MAX_RECORDS, WAIT)
+        .read(CONFIG_STREAM, from, MAX_RECORDS, wait)
         .await?;
-    let at_end = outcome.records.len() < MAX_RECORDS as usize;
+    let at_end = outcome.records.is_empty();
     let next = outcome.next;
     let mut records = Vec::new();
     for record in outcome.records {
@@ -92,7 +101,7 @@
             data: record.data.as_ref().into(),
         });
     }
-    if !records.is_empty() {
+    if !at_end {
         let text = format!("reader: read {} records", records.len());
         node.recorder.record(Kind::Read, Default::default(), text);
     }
@@ -103,7 +112,7 @@
         }
         outcome
     });
-    Ok(())
+    Ok(at_end)
 }
 
 fn note_log(node: &Node, up: bool, text: &str) {
@@ -130,32 +139,36 @@
     exchange::take_snapshot(node, None, state);
 }
 
-/// Reads the newest snapshot in the log.
+/// Reads the newest snapshot in the log that can be decoded.
+///
+/// A read beyond the end answers where the end is, so the older snapshots are not read.
 pub(crate) async fn newest_snapshot(node: &Node) -> Option<State> {
-    let mut from = 0;
-    let mut newest = None;
-    loop {
+    node.metrics.log_reads.inc();
+    let end = match node
+        .log
+        .read(SNAPSHOT_STREAM, BEYOND_END, 1, Duration::ZERO)
+        .await
+    {
+        Ok(outcome) => outcome.next,
+        Err(err) => {
+            slog::warn!(node.recorder.log(), "reader: {}", err);
+            return None;
+        }
+    };
+    for offset in (0..end).rev().take(SNAPSHOT_TRIES) {
         node.metrics.log_reads.inc();
-        match node
+        let outcome = node
             .log
-            .read(SNAPSHOT_STREAM, from, 1, Duration::ZERO)
+            .read(SNAPSHOT_STREAM, offset, 1, Duration::ZERO)
             .await
-        {
-            Ok(outcome) if outcome.records.is_empty() => return newest,
-            Ok(outcome) => {
-                from = outcome.next;
-                for record in outcome.records {
-                    match State::from_snapshot(&record.data) {
-                        Ok(state) => newest = Some(state),
-                        Err(err) => slog::warn!(node.recorder.log(), "reader: {}", err),
-                    }
-                }
-            }
-            Err(Error::Trimmed { first, .. }) => from = first,
-            Err(err) => {
-                slog::warn!(node.recorder.log(), "reader: {}", err);
-                return newest;
-            }
+            .ok()?;
+        let Some(record) = outcome.records.first() else {
+            continue;
+        };
+        match State::from_snapshot(&record.data) {
+            Ok(state) => return Some(state),
+            Err(err) => slog::warn!(node.recorder.log(), "reader: {}", err),
         }
     }
+    None
 }
--- a/hitch-node/src/once.rs
+++ b/hitch-node/src/once.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hitch_once::Holder;
 use hitch_once::Incarnation;
@@ -25,6 +26,9 @@
 use crate::reply;
 use crate::shards::lock;
 
+/// Longest time that a call waits for one pull of ownership.
+const PULL_WAIT: Duration = Duration::from_millis(150);
+
 /// Keys of the service beside this node.
 #[derive(Debug)]
 pub struct Section {
@@ -70,7 +74,14 @@
     let Ok(key) = Key::parse(&req.key) else {
         return reply::refusal(Outcome::NotRun(NotRun::InvalidKey));
     };
-    let mut rx = match enter(node, key, &req) {
+    let mut entered = enter(node, key, &req);
+    if let Entered::Done(reply) = &entered
+        && reply::outcome(reply) == Outcome::NotRun(NotRun::NoOwner)
+    {
+        pull(node).await;
+        entered = enter(node, key, &req);
+    }
+    let mut rx = match entered {
         Entered::Done(reply) => return reply,
         Entered::Join(rx) => rx,
         Entered::Run(tx) => {
@@ -87,6 +98,17 @@
     }
 }
 
+/// Waits for a pull of ownership: the record that gives the key an owner may have come since the last.
+async fn pull(node: &Node) {
+    let mut pulls = node.board.ownership_pulls.subscribe();
+    node.board.ownership_wake.notify_one();
+    // Two, because the first one may have begun before this call.
+    for _ in 0..2 {
+        let _ = tokio::time::timeout(PULL_WAIT, pulls.changed()).await;
+        node.board.ownership_wake.notify_one();
+    }
+}
+
 fn enter(node: &Node, key: Key, req: &CallRequest) -> Entered {
     let mut section = lock(&node.board.once);
     let Section {
--- a/hitch-node/src/run.rs
+++ b/hitch-node/src/run.rs
@@ -158,11 +158,13 @@
     vec![
         tokio::spawn(controller::apply::run(node.clone())),
         tokio::spawn(controller::backend::run(node.clone())),
+        tokio::spawn(controller::contact::run(node.clone())),
         tokio::spawn(controller::exchange::run(node.clone())),
         tokio::spawn(controller::membership::run(node.clone())),
         tokio::spawn(controller::ownership::run(node.clone())),
         tokio::spawn(controller::ownership::tail(node.clone())),
         tokio::spawn(controller::reader::run(node.clone())),
+        tokio::spawn(controller::snapshot::run(node.clone())),
     ]
 }
 
--- /dev/null
+++ b/hitch-node/tests/it/configuration.rs
@@ -0,0 +1,83 @@
+//! Versions under kills, freezes and outages.
+
+use std::time::Duration;
+
+use crate::fleet::CONTRACT;
+use crate::fleet::Fleet;
+
+fn moved() -> String {
+    CONTRACT.replace("path: /fees", "path: /moved")
+}
+
+/// Guards against a frozen node that serves by stale routes after it resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_node_catches_up_before_its_next_call() {
+    let fleet = Fleet::serving(3).await;
+    fleet.members[1].signal("-STOP");
+    let version = fleet.publish(1, &moved());
+    for other in [0, 2] {
+        let member = &fleet.members[other];
+        crate::fleet::wait("the new version", || async {
+            member.status().await["version_in_force"].as_u64() == Some(version)
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    fleet.members[1].signal("-CONT");
+    let res = fleet.members[1].get("/moved/1", &[]).await.unwrap();
+    assert_eq!(res.status(), 200, "{res:?}");
+    let old = fleet.members[1].get("/fees/1", &[]).await.unwrap();
+    assert_eq!(old.status(), 404);
+}
+
+/// Guards against a log outage that stops calls or keeps a new node from starting, and against a
+/// refused change that takes effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_serves_and_bootstraps_through_a_log_outage() {
+    let mut fleet = Fleet::serving(3).await;
+    let mut control = hitch_standin_log::Control {
+        outage: Some(true),
+        ..Default::default()
+    };
+    fleet.log.control(&control);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.add().await;
+    fleet.wait_in_force(1).await;
+    fleet.wait_ready(4).await;
+    let res = fleet.members[3].get("/fees/7", &[]).await.unwrap();
+    assert_eq!(res.status(), 200, "{res:?}");
+    control.outage = Some(false);
+    fleet.log.control(&control);
+    let refused = fleet.publish(1, &moved().replace("service: ledger", "service: missing"));
+    let accepted = fleet.publish(1, &moved());
+    fleet.wait_in_force(accepted).await;
+    for member in &fleet.members {
+        assert_eq!(member.status().await["version_in_force"], accepted);
+    }
+    assert_eq!(refused + 1, accepted);
+}
+
+/// Guards against a node that can no longer start because the log was trimmed, and against one that
+/// comes back with an older version.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_node_recovers_after_the_log_was_trimmed() {
+    let mut fleet = Fleet::serving(3).await;
+    let version = fleet.publish(1, &moved());
+    fleet.wait_in_force(version).await;
+    let control = hitch_standin_log::Control {
+        trim_before: Some(version),
+        stream: Some("config".into()),
+        ..Default::default()
+    };
+    fleet.log.control(&control);
+    fleet.members[0].kill();
+    fleet.members[0].restart();
+    fleet.wait_in_force(version).await;
+    let hashes: Vec<_> = [
+        fleet.members[0].status().await,
+        fleet.members[1].status().await,
+    ]
+    .map(|s| s["state_hash"].clone())
+    .into();
+    assert_eq!(hashes[0], hashes[1]);
+}
--- /dev/null
+++ b/hitch-node/tests/it/fleet.rs
@@ -0,0 +1,352 @@
+//! Starts a fleet of node processes and its stand-ins.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hitch_config::Change;
+use hitch_edge::Backend;
+use hitch_edge::Problem;
+use hitch_edge::backend::Options;
+use http::Request;
+use http::Response;
+use serde_json::Value;
+use slog::Logger;
+use slog::o;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+/// Longest time that a test waits for something that must come.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// A node process with its backend server.
+pub struct Member {
+    pub caller: SocketAddr,
+    pub admin: SocketAddr,
+    pub backend: hitch_standin_backend::Handle,
+    settings: std::path::PathBuf,
+    child: Option<Child>,
+}
+
+/// The fleet. Its processes end with it.
+pub struct Fleet {
+    pub log: hitch_standin_log::Handle,
+    pub members: Vec<Member>,
+    folder: TempDir,
+    log_address: SocketAddr,
+    seeds: Vec<SocketAddr>,
+}
+
+/// One service of the contract of the tests.
+pub const CONTRACT: &str = "
+customer: association
+lands_within: 10s
+key_interval: 4s
+ranks:
+  - { name: fee, target_latency: 150ms, worth: 100, share: 30%, admit: 5000/s }
+  - { name: enquiry, target_latency: 800ms, worth: 1, share: 10%, admit: 5000/s }
+services:
+  - { name: ledger, slots: 13, connections: 130 }
+routes:
+  - { method: GET, path: /fees, service: ledger, idempotent: true, deadline: 10s }
+  - { method: POST, path: /fees, service: ledger, idempotent: false, deadline: 10s }
+";
+
+fn discard() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+async fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .await
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+impl Fleet {
+    /// Starts the log and `count` members of the service `ledger`, without a contract.
+    pub async fn start(count: usize) -> Fleet {
+        let log = hitch_standin_log::Handle::new(Default::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let log_address = listener.local_addr().unwrap();
+        tokio::spawn(hitch_standin_log::serve(listener, log.clone(), discard()));
+        let folder = tempfile::tempdir().unwrap();
+        let mut fleet = Fleet {
+            log,
+            members: Vec::new(),
+            folder,
+            log_address,
+            seeds: Vec::new(),
+        };
+        for _ in 0..count {
+            fleet.add().await;
+        }
+        fleet
+    }
+
+    /// Starts a fleet, publishes [`CONTRACT`] and waits until every node serves and knows the others.
+    pub async fn serving(count: usize) -> Fleet {
+        let fleet = Fleet::start(count).await;
+        fleet.publish(0, CONTRACT);
+        fleet.wait_in_force(1).await;
+        fleet.wait_ready(count).await;
+        fleet
+    }
+
+    /// Adds a member.
+    pub async fn add(&mut self) {
+        let number = self.members.len() + 1;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backend_address = listener.local_addr().unwrap();
+        let settings = hitch_standin_backend::Settings {
+            instance: format!("i-{number}").into(),
+            ..Default::default()
+        };
+        let backend = hitch_standin_backend::Handle::new(settings);
+        tokio::spawn(hitch_standin_backend::serve(
+            listener,
+            backend.clone(),
+            discard(),
+        ));
+        let (caller, peer, admin) = (
+            free_address().await,
+            free_address().await,
+            free_address().await,
+        );
+        self.seeds.push(peer);
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .take(2)
+            .map(SocketAddr::to_string)
+            .collect();
+        let text = format!(
+            "instance: i-{number}\nregion: nl-west\nzone: nl-west-{}\ncaller: {caller}\npeer: {peer}\n\
+             admin: {admin}\nlog: http://{}\npeers: [{}]\n\
+             backend: {{ service: ledger, customer: association, address: {backend_address} }}\n",
+            ["a", "b", "c"][number % 3],
+            self.log_address,
+            seeds.join(", "),
+        );
+        let settings = self.folder.path().join(format!("i-{number}.yaml"));
+        std::fs::write(&settings, text).unwrap();
+        let child = Some(spawn(&settings));
+        self.members.push(Member {
+            caller,
+            admin,
+            backend,
+            settings,
+            child,
+        });
+    }
+
+    /// Appends a change of the contract, based on a version, and returns its version if it is accepted.
+    pub fn publish(&self, based_on: u64, contract: &str) -> u64 {
+        let change = Change {
+            change_id: Uuid::now_v7(),
+            customer: "association".into(),
+            based_on,
+            operator: "test".into(),
+            contract: contract.into(),
+        };
+        let appended = self
+            .log
+            .append_now("config", change.to_bytes().into())
+            .unwrap();
+        appended.offset + 1
+    }
+
+    /// Waits until a version is in force on every node that runs.
+    pub async fn wait_in_force(&self, version: u64) {
+        for member in self.members.iter().filter(|m| m.child.is_some()) {
+            wait("the version in force", || async {
+                member.status().await["version_in_force"].as_u64() >= Some(version)
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every node that runs is ready and knows `count` ready members.
+    pub async fn wait_ready(&self, count: usize) {
+        for member in self.members.iter().filter(|m| m.child.is_some()) {
+            wait("ready members", || async {
+                member.ready_members().await == count
+            })
+            .await;
+        }
+    }
+
+    /// Waits until a keyed call is answered, so that keys are owned.
+    pub async fn wait_keys(&self) {
+        let member = &self.members[0];
+        wait("an owner of keys", || async {
+            let key = Uuid::now_v7().to_string();
+            matches!(member.post("/fees", &key, &[]).await, Ok(res) if res.status() == 200)
+        })
+        .await;
+    }
+
+    /// Sums how often a key was started, over all backend servers.
+    pub fn runs(&self, key: &str) -> u32 {
+        self.members
+            .iter()
+            .filter_map(|m| m.backend.ledger().keys.get(key).map(|r| r.started))
+            .sum()
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let until = Instant::now() + LONG;
+    while !condition().await {
+        assert!(Instant::now() < until, "waited too long for {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn spawn(settings: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_hitch-node"))
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(std::fs::File::create(settings.with_extension("log")).unwrap())
+        .spawn()
+        .unwrap()
+}
+
+/// An answer, or why there is none.
+pub type Answer = Result<Response<Bytes>, hitch_edge::backend::Error>;
+
+impl Member {
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.as_ref().expect("the node runs").id().to_string();
+        assert!(
+            Command::new("kill")
+                .arg(name)
+                .arg(pid)
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().expect("the node runs");
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Starts the process again, with empty memory.
+    pub fn restart(&mut self) {
+        self.child = Some(spawn(&self.settings));
+    }
+
+    /// Returns the exit status once the process ended by itself.
+    pub fn try_exit(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut()?.try_wait().unwrap()
+    }
+
+    /// Reads `/status`; empty when the node does not answer.
+    pub async fn status(&self) -> Value {
+        let req = Request::get("/status")
+            .header("host", "n")
+            .body(Bytes::new())
+            .unwrap();
+        match client(self.admin)
+            .run(req, "", Instant::now() + LONG, || ())
+            .await
+        {
+            Ok(res) => serde_json::from_slice(res.body()).unwrap(),
+            Err(_) => Value::Null,
+        }
+    }
+
+    async fn ready_members(&self) -> usize {
+        let status = self.status().await;
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        members.iter().filter(|m| m["state"] == "ready").count()
+    }
+
+    /// Sends an idempotent call.
+    pub async fn get(&self, path: &str, headers: &[(&str, &str)]) -> Answer {
+        self.send(Request::get(path), "enquiry", headers, Bytes::new())
+            .await
+    }
+
+    /// Sends a call with an idempotency key.
+    pub async fn post(&self, path: &str, key: &str, headers: &[(&str, &str)]) -> Answer {
+        let req = Request::post(path).header("idempotency-key", key);
+        self.send(req, "fee", headers, Bytes::from_static(b"{}"))
+            .await
+    }
+
+    /// Sends a call with an idempotency key and another body than [`Member::post`].
+    pub async fn send_other_body(&self, path: &str, key: &str) -> Answer {
+        let req = Request::post(path).header("idempotency-key", key);
+        self.send(req, "fee", &[], Bytes::from_static(b"{\"other\":1}"))
+            .await
+    }
+
+    async fn send(
+        &self,
+        mut req: http::request::Builder,
+        rank: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Answer {
+        let call_id = Uuid::now_v7().to_string();
+        req = req
+            .header("host", "n")
+            .header("x-hitch-customer", "association")
+            .header("x-hitch-rank", rank)
+            .header("x-hitch-call-id", &call_id)
+            .header("content-length", body.len());
+        if !headers
+            .iter()
+            .any(|(name, _)| *name == "x-hitch-deadline-ms")
+        {
+            req = req.header("x-hitch-deadline-ms", "5000");
+        }
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(body).unwrap();
+        client(self.caller)
+            .run(req, &call_id, Instant::now() + LONG, || ())
+            .await
+    }
+}
+
+fn client(address: SocketAddr) -> Backend {
+    let options = Options {
+        connections: 1,
+        connect_timeout: Duration::from_secs(1),
+    };
+    Backend::at(&address.to_string(), options)
+}
+
+/// Reads the problem of a refusal.
+pub fn problem(res: &Response<Bytes>) -> Problem {
+    serde_json::from_slice(res.body()).expect("a refusal has a problem")
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/hitch-node/tests/it/routing.rs
@@ -0,0 +1,68 @@
+//! Calls over a fleet whose members fail.
+
+use hitch_edge::problem::Outcome;
+
+use crate::fleet::Fleet;
+use crate::fleet::problem;
+
+/// Guards against a killed node that fails later idempotent calls through the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_of_any_node_fails_no_later_idempotent_call() {
+    let mut fleet = Fleet::serving(4).await;
+    fleet.members[2].kill();
+    for i in 0..60 {
+        let member = &fleet.members[[0, 1, 3][i % 3]];
+        let res = member.get("/fees/7", &[]).await.unwrap();
+        assert_eq!(res.status(), 200, "call {i}: {res:?}");
+    }
+}
+
+/// Guards against input that hangs or is refused without saying that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_as_not_run() {
+    let fleet = Fleet::serving(1).await;
+    let member = &fleet.members[0];
+    let long = "x".repeat(20_000);
+    type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], u16);
+    let cases: [Case<'_>; 6] = [
+        ("/nothing", &[], 404),
+        ("/fees", &[("x-hitch-deadline-ms", "soon")], 400),
+        ("/fees", &[("x-hitch-depth", "19")], 400),
+        ("/fees", &[("x-hitch-rank", "enquiry")], 400),
+        ("/fees", &[("x-hitch-customer", "nobody")], 400),
+        ("/fees", &[("x-long", &long)], 400),
+    ];
+    for (path, headers, status) in cases {
+        let res = member.get(path, headers).await.unwrap();
+        assert_eq!(res.status(), status, "{path} {headers:?}");
+        assert_eq!(problem(&res).outcome, Outcome::NotRun);
+    }
+    let undated = member
+        .post("/fees", "6f2d0c3e-8a44-4d5e-9a2b-0f6c1d2e3f40", &[])
+        .await
+        .unwrap();
+    assert_eq!(
+        (undated.status().as_u16(), &*problem(&undated).reason),
+        (400, "invalid-key")
+    );
+    let ledger = member.backend.ledger();
+    assert_eq!(ledger.started, 0);
+}
+
+/// Guards against a backend server that lies healthy and fails fast.
+#[tokio::test(flavor = "multi_thread")]
+async fn backend_that_fails_fast_fails_no_more_than_one_percent() {
+    let fleet = Fleet::serving(4).await;
+    let control = hitch_standin_backend::Control {
+        fail_fast: Some(true),
+        ..Default::default()
+    };
+    fleet.members[1].backend.control(&control);
+    let mut failed = 0;
+    for i in 0..300 {
+        let member = &fleet.members[i % 4];
+        let res = member.get("/fees/7", &[]).await.unwrap();
+        failed += u32::from(res.status() != 200);
+    }
+    assert!(failed <= 3, "{failed} of 300 calls failed");
+}
