--- a/hitch-standin-backend/src/answer.rs
+++ b/hitch-standin-backend/src/answer.rs
@@ -25,6 +25,10 @@
 }
 
 /// Returns the hash that an answer carries for a request body.
-pub(crate) fn body_hash(body: &[u8]) -> Box<str> {
+///
+/// ```
+/// assert_eq!(&*hitch_standin_backend::body_hash(b""), "2d06800538d394c2");
+/// ```
+pub fn body_hash(body: &[u8]) -> Box<str> {
     format!("{:016x}", xxhash_rust::xxh3::xxh3_64(body)).into()
 }
--- a/hitch-standin-backend/src/lib.rs
+++ b/hitch-standin-backend/src/lib.rs
@@ -26,6 +26,7 @@
 mod state;
 
 pub use answer::Answer;
+pub use answer::body_hash;
 pub use control::Control;
 pub use handle::Handle;
 pub use ledger::Ledger;
