--- a/hitch-node/tests/it/fleet.rs
+++ b/hitch-node/tests/it/fleet.rs
@@ -64,12 +64,17 @@
     Logger::root(slog::Discard, o!())
 }
 
+/// Finds an address below the ephemeral ports, which outgoing connections would take meanwhile.
 async fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .await
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + (std::process::id() * 97 + next) % 18_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).await.is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Fleet {
