Poll laggards in turns while waiting for a version

Cause: a trial with the real node showed that its members carry no version in force, so every node is polled itself, 64 a round. With more than 64 laggards the later ones were never asked. One frozen node made each round take 2 s.

Change: rounds take turns through the nodes that are behind, and a poll awaits an answer for 500 ms.

Before: with 65 laggards, a node that was done counted as a laggard for ever.

--- a/hitch-ctl/src/fleet.rs
+++ b/hitch-ctl/src/fleet.rs
@@ -23,8 +23,8 @@
     pub state: Box<str>,
     /// Address of the admin listener, when it is known.
     pub admin: Option<SocketAddr>,
-    /// Newest version that any report says is in force. Versions never go back, so the newest report
-    /// is not contradicted by an older one that arrives late.
+    /// Newest version that any report says is in force, 0 when none says. Versions never go back, so
+    /// the newest report is not contradicted by an older one that arrives late.
     pub version_in_force: u64,
     /// The node's own report, when there is one.
     #[serde(skip)]
--- a/hitch-ctl/src/http.rs
+++ b/hitch-ctl/src/http.rs
@@ -12,8 +12,6 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
-/// Time within which a node must answer.
-const TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest answer; the status of a node in a fleet of 5,600 takes about 1 MiB.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -32,11 +30,16 @@
 }
 
 impl Http {
-    /// Gets the whole body at `path`, or says why there is none.
-    pub(crate) async fn get(&self, peer: SocketAddr, path: &str) -> Result<Bytes, Box<str>> {
-        match tokio::time::timeout(TIMEOUT, self.exchange(peer, path)).await {
+    /// Gets the whole body at `path` within `timeout`, or says why there is none.
+    pub(crate) async fn get(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Bytes, Box<str>> {
+        match tokio::time::timeout(timeout, self.exchange(peer, path)).await {
             Ok(result) => result,
-            Err(_) => Err(format!("no answer within {TIMEOUT:?}").into()),
+            Err(_) => Err(format!("no answer within {timeout:?}").into()),
         }
     }
 
--- a/hitch-ctl/src/nodes.rs
+++ b/hitch-ctl/src/nodes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures::StreamExt;
 use hitch_event::Event;
@@ -12,6 +13,8 @@
 use crate::http::Http;
 use crate::status::Status;
 
+/// Time within which a node must answer, unless the caller sets another.
+const TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests in flight at once, which keeps a command from disturbing a large fleet.
 const CONCURRENCY: usize = 16;
 
@@ -50,12 +53,34 @@
 }
 
 /// A client of nodes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Nodes {
     http: Http,
+    timeout: Duration,
+}
+
+impl Default for Nodes {
+    fn default() -> Nodes {
+        Nodes {
+            http: Http::default(),
+            timeout: TIMEOUT,
+        }
+    }
 }
 
 impl Nodes {
+    /// Returns a client on the same connections that awaits each answer for `timeout` at most.
+    ///
+    /// ```
+    /// let _ = hitch_ctl::nodes::Nodes::default().with_timeout(std::time::Duration::from_secs(1));
+    /// ```
+    pub fn with_timeout(&self, timeout: Duration) -> Nodes {
+        Nodes {
+            timeout,
+            ..self.clone()
+        }
+    }
+
     /// Asks one node for its status.
     ///
     /// ```
@@ -69,7 +94,7 @@
     /// ```
     pub async fn status(&self, peer: SocketAddr) -> Result<Status, Error> {
         let step = "read status of";
-        let body = self.http.get(peer, "/status").await;
+        let body = self.http.get(peer, "/status", self.timeout).await;
         let body = body.map_err(|detail| Error { step, peer, detail })?;
         serde_json::from_slice(&body).map_err(|err| Error {
             step,
@@ -93,7 +118,7 @@
         peer: SocketAddr,
         options: &timeline::Options,
     ) -> Result<Events, Error> {
-        let body = self.http.get(peer, "/events").await;
+        let body = self.http.get(peer, "/events", self.timeout).await;
         let step = "read events of";
         let body = body.map_err(|detail| Error { step, peer, detail })?;
         let mut out = Events::default();
--- a/hitch-ctl/src/wait.rs
+++ b/hitch-ctl/src/wait.rs
@@ -16,6 +16,8 @@
 
 /// Pause between two rounds of polling.
 pub const INTERVAL: Duration = Duration::from_millis(200);
+/// Time within which a node must answer a poll. A frozen node delays each round by it.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Laggards that a line of progress names.
 const NAMED_LAGGARDS: usize = 8;
 
@@ -106,10 +108,13 @@
     mut progress: impl FnMut(&Progress),
 ) -> Progress {
     let start = Instant::now();
+    let nodes = &nodes.with_timeout(POLL_TIMEOUT);
     let mut fleet = Fleet::default();
     let mut shown: Option<Progress> = None;
+    let mut rounds = 0;
     loop {
-        let answers = round(nodes, seeds, options.version, &mut fleet).await;
+        let answers = round(nodes, seeds, options.version, &mut fleet, rounds).await;
+        rounds += 1;
         let mut now = judge(&answers, &fleet, options.version);
         now.elapsed_ms = start.elapsed().as_millis() as u64;
         let is_news = shown
@@ -126,12 +131,15 @@
     }
 }
 
-/// Asks the seeds, which report the versions of all members, and then nodes that are behind.
+/// Asks the seeds, and then nodes that are behind or whose version no report holds.
+///
+/// Rounds take turns through these nodes, so that some that stay behind do not hide the others.
 async fn round(
     nodes: &Nodes,
     seeds: &[SocketAddr],
     version: u64,
     fleet: &mut Fleet,
+    number: usize,
 ) -> Answers<Status> {
     fleet.start_round();
     let mut answers = nodes.statuses(seeds.iter().copied()).await;
@@ -144,7 +152,10 @@
     let behind = behind
         .filter_map(|node| node.admin)
         .filter(|peer| !seeds.contains(peer));
-    let behind: Vec<_> = behind.take(MAX_DIRECT).collect();
+    let mut behind: Vec<_> = behind.collect();
+    let turn = (number * MAX_DIRECT) % behind.len().max(1);
+    behind.rotate_left(turn);
+    behind.truncate(MAX_DIRECT);
     let more = nodes.statuses(behind).await;
     for (peer, status) in &more.answers {
         fleet.observe(*peer, status);
--- a/hitch-ctl/tests/it/wait.rs
+++ b/hitch-ctl/tests/it/wait.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hitch_ctl::nodes::MAX_DIRECT;
 use hitch_ctl::nodes::Nodes;
 use hitch_ctl::wait::Options;
 use hitch_ctl::wait::until_in_force;
@@ -63,6 +64,22 @@
     assert!(found[2].1.contains("read status of 127.0.0.1:1"), "{last}");
 }
 
+/// Guards against nodes that stay behind and keep the others from being asked.
+#[tokio::test]
+async fn many_laggards_do_not_hide_a_node_that_is_done() {
+    let seed = FakeNode::start("i-1", 3, "").await;
+    let mut members = Vec::new();
+    for i in 0..MAX_DIRECT + 1 {
+        let behind = FakeNode::start(&format!("k-{i:03}"), 2, "").await;
+        members.push(behind.as_member("ready"));
+    }
+    let done = FakeNode::start("z-1", 3, "").await;
+    members.push(done.as_member("ready"));
+    seed.set("members", json!(members));
+    let last = until_in_force(&Nodes::default(), &[seed.admin], &options(3, 1500), |_| {}).await;
+    assert_eq!((last.in_force, last.known), (2, MAX_DIRECT + 3));
+}
+
 /// Guards against a wait that counts as done when nothing is known of any node.
 #[tokio::test]
 async fn silence_is_not_success() {
