--- a/hitch-ctl/src/view.rs
+++ b/hitch-ctl/src/view.rs
@@ -113,11 +113,15 @@
         for view in &self.nodes {
             let node = &view.node;
             let admin = node.admin.map_or("-".to_owned(), |a| a.to_string());
+            let in_force = match node.version_in_force {
+                0 if node.own.is_none() => "-".to_owned(),
+                version => version.to_string(),
+            };
             let known = view.version_known.map_or("-".to_owned(), |v| v.to_string());
             write!(
                 f,
-                "\n{:<16} {:<12} {:<12} {:<9} {:>8} {known:>8}  {admin}",
-                node.instance, node.zone, node.service, node.state, node.version_in_force
+                "\n{:<16} {:<12} {:<12} {:<9} {in_force:>8} {known:>8}  {admin}",
+                node.instance, node.zone, node.service, node.state
             )?;
             if !view.not_ready_reason.is_empty() {
                 write!(f, "\n  not ready: {}", view.not_ready_reason)?;
--- a/hitch-ctl/src/wait.rs
+++ b/hitch-ctl/src/wait.rs
@@ -16,6 +16,8 @@
 
 /// Pause between two rounds of polling.
 pub const INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which progress is shown again though no node changed.
+const SHOW_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which a node must answer a poll. A frozen node delays each round by it.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Laggards that a line of progress names.
@@ -67,6 +69,20 @@
     }
 }
 
+impl Progress {
+    /// Returns whether this is worth a line after `last` was shown: nodes changed, or time passed.
+    fn is_news_after(&self, last: &Progress) -> bool {
+        let same_nodes = self.laggards.len() == last.laggards.len()
+            && self
+                .laggards
+                .iter()
+                .zip(&last.laggards)
+                .all(|(a, b)| a.instance == b.instance);
+        let old = self.elapsed_ms >= last.elapsed_ms + SHOW_INTERVAL.as_millis() as u64;
+        !same_nodes || self.known != last.known || (old && !self.laggards.is_empty())
+    }
+}
+
 impl fmt::Display for Progress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -86,7 +102,7 @@
 
 /// Polls until the version is in force on every known node or the time is over.
 ///
-/// `progress` is called whenever the numbers or the laggards change. The last progress is returned.
+/// `progress` is called when the laggards change, and once a second while there are any. The last progress is returned.
 ///
 /// ```
 /// # use std::time::Duration;
@@ -117,9 +133,7 @@
         rounds += 1;
         let mut now = judge(&answers, &fleet, options.version);
         now.elapsed_ms = start.elapsed().as_millis() as u64;
-        let is_news = shown
-            .as_ref()
-            .is_none_or(|s| (s.known, &s.laggards) != (now.known, &now.laggards));
+        let is_news = shown.as_ref().is_none_or(|last| now.is_news_after(last));
         if is_news {
             progress(&now);
             shown = Some(now.clone());
--- a/hitch-ctl/tests/it/wait.rs
+++ b/hitch-ctl/tests/it/wait.rs
@@ -80,6 +80,19 @@
     assert_eq!((last.in_force, last.known), (2, MAX_DIRECT + 3));
 }
 
+/// Guards against a line of progress for every poll, in which a change is overlooked.
+#[tokio::test]
+async fn unchanged_progress_is_shown_once_a_second() {
+    let seed = FakeNode::start("i-1", 2, "").await;
+    let mut shown = 0;
+    let last = until_in_force(&Nodes::default(), &[seed.admin], &options(3, 1500), |_| {
+        shown += 1;
+        seed.set("confirmed_age_ms", json!(shown));
+    })
+    .await;
+    assert_eq!((shown, last.laggards.len()), (2, 1));
+}
+
 /// Guards against a wait that counts as done when nothing is known of any node.
 #[tokio::test]
 async fn silence_is_not_success() {
--- a/hitch-settings/tests/it/node.rs
+++ b/hitch-settings/tests/it/node.rs
@@ -31,6 +31,14 @@
     assert_eq!((settings.threads, settings.shards), (4, 16));
 }
 
+/// Guards against an example that is refused.
+#[test]
+fn example_is_valid() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/node.yaml");
+    let settings = Settings::at(path).unwrap();
+    assert_eq!(&*settings.backend.service, "ledger");
+}
+
 /// Guards against a bad value that is taken as it is, and against its report without line or field.
 #[test]
 fn bad_values_are_refused_with_line_and_field() {
