Allow long comments in settings and contracts

Cause: serde-saphyr buffers comments while it looks ahead and refuses more than 32 comment lines in a row, so a commented-out list made a contract invalid.

Change: the reader does not emit comments, which lifts that limit; the limits on file size, depth and aliases stay.

Conclusion: comments have no influence on validity.

--- a/hitch-settings/src/tree.rs
+++ b/hitch-settings/src/tree.rs
@@ -63,6 +63,8 @@
             alias_limits: serde_saphyr::alias_limits! {
                 max_total_replayed_events: MAX_REPLAYED_EVENTS,
             },
+            // With comments emitted, more than 32 comment lines in a row are refused.
+            emit_comments: false,
             strict_booleans: true,
             leading_zero_numbers_as_strings: true,
             underscored_numbers_as_strings: true,
--- a/hitch-settings/tests/it/read.rs
+++ b/hitch-settings/tests/it/read.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// Guards against long comments that are refused.
+#[test]
+fn long_comments_are_allowed() {
+    let comments = "  # comment\n".repeat(200);
+    let text = format!("{comments}-\n{comments}  - - 1\n{comments}    - 2\n{comments}");
+    let lists: Vec<Vec<Vec<u32>>> = from_bytes("a.yaml", text.as_bytes()).unwrap();
+    assert_eq!(lists, [[vec![1, 2]]]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
