Complete the examples and the judgement of refusals in the stand-ins and the load generator

Cause: some public functions had no runnable example; a crashed backend stand-in could admit a call on a connection that was about to be closed; a refusal whose media type carries a parameter was counted as another answer, and no test covered refusals of a node. Change: examples; a backend stand-in that has crashed admits nothing until it starts again; refusals are recognised by the start of their media type, with a test for not-run, unknown, other statuses and closed connections.

--- a/hitch-load/src/call.rs
+++ b/hitch-load/src/call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hitch_standin_backend::Answer;
 use hitch_standin_backend::header;
+use http::HeaderValue;
 use http::Request;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
@@ -17,6 +18,8 @@
 use crate::pool::Failure;
 use crate::pool::Pool;
 
+/// Media type of a refusal by a node.
+const PROBLEM_TYPE: &[u8] = b"application/problem+json";
 /// Time after the deadline for which an answer is awaited.
 pub(crate) const GRACE: Duration = Duration::from_millis(500);
 
@@ -124,7 +127,8 @@
     }
     let status = answer.status.as_u16();
     let content_type = answer.headers.get(CONTENT_TYPE);
-    if content_type.is_none_or(|value| value != "application/problem+json") {
+    let is_problem = |value: &HeaderValue| value.as_bytes().starts_with(PROBLEM_TYPE);
+    if !content_type.is_some_and(is_problem) {
         return judgement(Outcome::Other, format!("status {status}"));
     }
     let Ok(problem) = serde_json::from_slice::<Problem>(&answer.body) else {
--- a/hitch-load/src/compare.rs
+++ b/hitch-load/src/compare.rs
@@ -86,6 +86,24 @@
 
 /// Runs a comparison. Both blocks of a pair have the same schedule; which of them is first
 /// alternates from pair to pair.
+///
+/// ```
+/// # #[tokio::main]
+/// # async fn main() {
+/// let text = "
+/// targets: ['127.0.0.1:1']
+/// direct: ['127.0.0.1:1']
+/// duration_ms: 1
+/// streams:
+///   - { name: a, customer: c, rank: r, method: GET, path: /, rate: 100 }
+/// compare: { steps: [1], block_ms: 50, pairs: 1 }
+/// ";
+/// let plan = hitch_load::plan::from_str("plan.yaml", text).unwrap();
+/// let outcome = hitch_load::compare::run(&plan).await.unwrap();
+/// // Nothing listens on port 1.
+/// assert_eq!(outcome.steps[0].node.answered, 0);
+/// # }
+/// ```
 pub async fn run(plan: &Plan) -> Result<Outcome, engine::Error> {
     let direct = Engine::direct(plan);
     let node = Engine::to_nodes(plan);
--- a/hitch-load/src/engine.rs
+++ b/hitch-load/src/engine.rs
@@ -120,6 +120,12 @@
     }
 
     /// Returns the targets.
+    ///
+    /// ```
+    /// let text = "{ targets: ['127.0.0.1:8000'], duration_ms: 1, streams: [] }";
+    /// let plan = hitch_load::plan::from_str("plan.yaml", text).unwrap();
+    /// assert_eq!(hitch_load::Engine::to_nodes(&plan).targets().len(), 1);
+    /// ```
     pub fn targets(&self) -> &[SocketAddr] {
         &self.targets
     }
--- a/hitch-load/src/plan.rs
+++ b/hitch-load/src/plan.rs
@@ -83,7 +83,8 @@
     pub path: Box<str>,
     /// Calls per second.
     pub rate: f64,
-    /// Length of the request body.
+    /// Length of the request body, whose bytes differ from call to call. Through a node only the hash
+    /// of the body tells the answers to two calls apart, which takes 8 bytes or more.
     #[serde(default)]
     pub body_bytes: usize,
     /// Time for a call, in milliseconds.
@@ -295,6 +296,12 @@
     }
 
     /// Returns the length of the run.
+    ///
+    /// ```
+    /// let text = "{ targets: [], duration_ms: 10, streams: [] }";
+    /// let plan = hitch_load::plan::from_str("plan.yaml", text).unwrap();
+    /// assert_eq!(plan.duration().as_millis(), 10);
+    /// ```
     pub fn duration(&self) -> Duration {
         Duration::from_millis(self.duration_ms)
     }
--- a/hitch-load/tests/it/engine.rs
+++ b/hitch-load/tests/it/engine.rs
@@ -7,6 +7,9 @@
 use hitch_load::record::Recording;
 use hitch_standin_backend::Control;
 use hitch_standin_backend::Settings;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::plan;
 use crate::start;
@@ -70,6 +73,49 @@
     }
 }
 
+/// Answers every call on a connection of its own.
+async fn scripted(answer: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            // The head and the body of a call may arrive apart; its body has 32 bytes.
+            let mut n = socket.read(&mut buf).await.unwrap();
+            while !buf[..n].windows(4).any(|w| w == b"\r\n\r\n") || buf[..n].ends_with(b"\r\n\r\n")
+            {
+                n += socket.read(&mut buf[n..]).await.unwrap();
+            }
+            socket.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against refusals of a node that are counted as something else.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_counted_by_their_outcome() {
+    let not_run = "HTTP/1.1 503 X\r\ncontent-type: application/problem+json\r\nconnection: close\r\n\r\n{\"outcome\":\"not-run\",\"reason\":\"queue\"}";
+    let unknown = "HTTP/1.1 502 X\r\ncontent-type: application/problem+json\r\nconnection: close\r\n\r\n{\"outcome\":\"unknown\",\"reason\":\"short\"}";
+    let plain = "HTTP/1.1 500 X\r\nconnection: close\r\n\r\n";
+    let mut counts = Vec::new();
+    for answer in [not_run, unknown, plain, ""] {
+        let plan = plan(&scripted(answer).await, 100, "rate: 50", "");
+        let recording = Engine::to_nodes(&plan).run(&plan).await.unwrap();
+        let cell = only(&recording);
+        let reason = cell.reasons.keys().next().unwrap().clone();
+        counts.push((cell.not_run, cell.unknown, cell.other, reason));
+    }
+    let expected = [
+        (5, 0, 0, "queue".into()),
+        (0, 5, 0, "short".into()),
+        (0, 0, 5, "status 500".into()),
+        (0, 5, 0, "connection broken".into()),
+    ];
+    assert_eq!(counts, expected);
+}
+
 /// Guards against an audit that cannot find a duplicate run. The backend stand-in alone does not
 /// recognise a resend, so each lost answer leads to one.
 #[tokio::test(flavor = "multi_thread")]
--- a/hitch-standin-backend/src/call.rs
+++ b/hitch-standin-backend/src/call.rs
@@ -109,6 +109,8 @@
     };
     let (work, generation) = match admission {
         Admission::Run { work, generation } => (work, generation),
+        // The connection is about to be closed, which drops this future.
+        Admission::Down => return std::future::pending().await,
         Admission::Shed => return Err(shed(handle)),
         Admission::FailFast => {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
--- a/hitch-standin-backend/src/handle.rs
+++ b/hitch-standin-backend/src/handle.rs
@@ -116,21 +116,49 @@
     }
 
     /// Returns what was run.
+    ///
+    /// ```
+    /// use hitch_standin_backend::{Handle, Settings};
+    ///
+    /// let backend = Handle::new(Settings::default());
+    /// assert!(backend.ledger().keys.is_empty());
+    /// ```
     pub fn ledger(&self) -> Ledger {
         self.state().ledger.clone()
     }
 
     /// Returns what happened so far.
+    ///
+    /// ```
+    /// use hitch_standin_backend::{Handle, Settings};
+    ///
+    /// let backend = Handle::new(Settings::default());
+    /// assert_eq!(backend.counters().shed, 0);
+    /// ```
     pub fn counters(&self) -> Counters {
         self.state().counters.clone()
     }
 
     /// Returns the calls in progress.
+    ///
+    /// ```
+    /// use hitch_standin_backend::{Handle, Settings};
+    ///
+    /// let backend = Handle::new(Settings::default());
+    /// assert_eq!(backend.running(), 0);
+    /// ```
     pub fn running(&self) -> u32 {
         self.state().running
     }
 
     /// Returns the load as `GET /load` reports it.
+    ///
+    /// ```
+    /// use hitch_standin_backend::{Handle, Settings};
+    ///
+    /// let backend = Handle::new(Settings::default());
+    /// assert_eq!(backend.load().slots, 13);
+    /// ```
     pub fn load(&self) -> Load {
         let now = self.now();
         self.state().load(now)
--- a/hitch-standin-backend/src/ledger.rs
+++ b/hitch-standin-backend/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The ledger of what was really run. It survives crashes.
+//! The ledger of what was really run. It survives crashes and grows with the number of keys.
 
 use std::collections::BTreeMap;
 
@@ -46,6 +46,13 @@
     }
 
     /// Records the end of a run.
+    ///
+    /// ```
+    /// let mut ledger = hitch_standin_backend::Ledger::default();
+    /// ledger.start(Some("k"));
+    /// ledger.finish(Some("k"));
+    /// assert_eq!(ledger.keys["k"].finished, 1);
+    /// ```
     pub fn finish(&mut self, key: Option<&str>) {
         self.finished += 1;
         if let Some(runs) = key.and_then(|key| self.keys.get_mut(key)) {
@@ -54,6 +61,13 @@
     }
 
     /// Records a run that was stopped early.
+    ///
+    /// ```
+    /// let mut ledger = hitch_standin_backend::Ledger::default();
+    /// ledger.start(Some("k"));
+    /// ledger.stop(Some("k"));
+    /// assert_eq!(ledger.keys["k"].stopped, 1);
+    /// ```
     pub fn stop(&mut self, key: Option<&str>) {
         self.stopped += 1;
         if let Some(runs) = key.and_then(|key| self.keys.get_mut(key)) {
@@ -62,6 +76,10 @@
     }
 
     /// Returns how many keys were started more than once.
+    ///
+    /// ```
+    /// assert_eq!(hitch_standin_backend::Ledger::default().duplicates(), 0);
+    /// ```
     pub fn duplicates(&self) -> usize {
         self.keys.values().filter(|runs| runs.started > 1).count()
     }
--- a/hitch-standin-backend/src/state.rs
+++ b/hitch-standin-backend/src/state.rs
@@ -60,6 +60,8 @@
     Shed,
     /// It fails at once.
     FailFast,
+    /// The process has crashed and not started again.
+    Down,
 }
 
 /// What becomes of an answer.
@@ -80,6 +82,8 @@
     pub(crate) running: u32,
     /// Number of the process life; a crash starts the next one.
     pub(crate) generation: u64,
+    /// Whether the process has crashed and not started again.
+    down: bool,
     born: Duration,
     drain_since: Option<Duration>,
     load: History,
@@ -97,6 +101,7 @@
             counters: Counters::default(),
             running: 0,
             generation: 0,
+            down: false,
             born: Duration::ZERO,
             drain_since: None,
             load: History::default(),
@@ -106,6 +111,9 @@
 
     /// Decides about a call and records the start of its run.
     pub(crate) fn admit(&mut self, now: Duration, work_ms: u64, key: Option<&str>) -> Admission {
+        if self.down {
+            return Admission::Down;
+        }
         if self.faults.fail_fast {
             self.counters.failed_fast += 1;
             return Admission::FailFast;
@@ -208,11 +216,12 @@
         self.last_answer = None;
         self.faults.draining = false;
         self.drain_since = None;
-        self.restart(now);
+        self.down = true;
     }
 
-    /// Starts the cold start anew.
+    /// Starts a new process life, cold.
     pub(crate) fn restart(&mut self, now: Duration) {
+        self.down = false;
         self.born = now;
     }
 
--- a/hitch-standin-log/src/handle.rs
+++ b/hitch-standin-log/src/handle.rs
@@ -79,6 +79,16 @@
 
     /// Appends a record after the append delay. Once called, the append goes on when the future is
     /// dropped, as it does at a server whose caller has left.
+    ///
+    /// ```
+    /// # use hitch_standin_log::{Handle, Settings};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// let log = Handle::new(Settings::default());
+    /// let appended = log.append("config", b"data"[..].into()).await.unwrap();
+    /// assert_eq!(appended.offset, 0);
+    /// # }
+    /// ```
     pub async fn append(
         &self,
         stream: &str,
@@ -162,11 +172,25 @@
     }
 
     /// Returns the faults in force.
+    ///
+    /// ```
+    /// use hitch_standin_log::{Handle, Settings};
+    ///
+    /// let log = Handle::new(Settings::default());
+    /// assert_eq!(log.faults().lose_answers, 0);
+    /// ```
     pub fn faults(&self) -> Faults {
         self.store().faults().clone()
     }
 
     /// Returns what happened so far.
+    ///
+    /// ```
+    /// use hitch_standin_log::{Handle, Settings};
+    ///
+    /// let log = Handle::new(Settings::default());
+    /// assert_eq!(log.counters().total.reads, 0);
+    /// ```
     pub fn counters(&self) -> Counters {
         self.store().counters()
     }
--- a/hitch-standin-log/src/store.rs
+++ b/hitch-standin-log/src/store.rs
@@ -198,11 +198,25 @@
     }
 
     /// Returns the limits of the store.
+    ///
+    /// ```
+    /// use hitch_standin_log::{Settings, Store};
+    ///
+    /// let store = Store::new(Settings::default());
+    /// assert_eq!(store.settings().appends_per_second, 500);
+    /// ```
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
 
     /// Returns the faults in force.
+    ///
+    /// ```
+    /// use hitch_standin_log::{Settings, Store};
+    ///
+    /// let store = Store::new(Settings::default());
+    /// assert!(!store.faults().outage);
+    /// ```
     pub fn faults(&self) -> &Faults {
         &self.faults
     }
@@ -337,6 +351,17 @@
     }
 
     /// Counts an answer that goes to a reader.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use hitch_standin_log::{Settings, Store};
+    ///
+    /// let mut store = Store::new(Settings::default());
+    /// store.append(Duration::ZERO, 1, "config", b"data"[..].into()).unwrap();
+    /// let page = store.read("config", 0, 10).unwrap();
+    /// store.count_read("config", &page);
+    /// assert_eq!(store.counters().total.bytes_read, 4);
+    /// ```
     pub fn count_read(&mut self, stream: &str, outcome: &read::Outcome) {
         let Some(stream) = self.streams.get_mut(stream) else {
             return;
