--- a/hitch-ctl/src/wait.rs
+++ b/hitch-ctl/src/wait.rs
@@ -16,6 +16,10 @@
 
 /// Pause between two rounds of polling.
 pub const INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which progress is shown again though no node changed.
+const SHOW_INTERVAL: Duration = Duration::from_secs(1);
+/// Time within which a node must answer a poll. A frozen node delays each round by it.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Laggards that a line of progress names.
 const NAMED_LAGGARDS: usize = 8;
 
@@ -65,6 +69,20 @@
     }
 }
 
+impl Progress {
+    /// Returns whether this is worth a line after `last` was shown: nodes changed, or time passed.
+    fn is_news_after(&self, last: &Progress) -> bool {
+        let same_nodes = self.laggards.len() == last.laggards.len()
+            && self
+                .laggards
+                .iter()
+                .zip(&last.laggards)
+                .all(|(a, b)| a.instance == b.instance);
+        let old = self.elapsed_ms >= last.elapsed_ms + SHOW_INTERVAL.as_millis() as u64;
+        !same_nodes || self.known != last.known || (old && !self.laggards.is_empty())
+    }
+}
+
 impl fmt::Display for Progress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -84,7 +102,7 @@
 
 /// Polls until the version is in force on every known node or the time is over.
 ///
-/// `progress` is called whenever the numbers or the laggards change. The last progress is returned.
+/// `progress` is called when the laggards change, and once a second while there are any. The last progress is returned.
 ///
 /// ```
 /// # use std::time::Duration;
@@ -106,15 +124,16 @@
     mut progress: impl FnMut(&Progress),
 ) -> Progress {
     let start = Instant::now();
+    let nodes = &nodes.with_timeout(POLL_TIMEOUT);
     let mut fleet = Fleet::default();
     let mut shown: Option<Progress> = None;
+    let mut rounds = 0;
     loop {
-        let answers = round(nodes, seeds, options.version, &mut fleet).await;
+        let answers = round(nodes, seeds, options.version, &mut fleet, rounds).await;
+        rounds += 1;
         let mut now = judge(&answers, &fleet, options.version);
         now.elapsed_ms = start.elapsed().as_millis() as u64;
-        let is_news = shown
-            .as_ref()
-            .is_none_or(|s| (s.known, &s.laggards) != (now.known, &now.laggards));
+        let is_news = shown.as_ref().is_none_or(|last| now.is_news_after(last));
         if is_news {
             progress(&now);
             shown = Some(now.clone());
@@ -126,12 +145,15 @@
     }
 }
 
-/// Asks the seeds, which report the versions of all members, and then nodes that are behind.
+/// Asks the seeds, and then nodes that are behind or whose version no report holds.
+///
+/// Rounds take turns through these nodes, so that some that stay behind do not hide the others.
 async fn round(
     nodes: &Nodes,
     seeds: &[SocketAddr],
     version: u64,
     fleet: &mut Fleet,
+    number: usize,
 ) -> Answers<Status> {
     fleet.start_round();
     let mut answers = nodes.statuses(seeds.iter().copied()).await;
@@ -144,7 +166,10 @@
     let behind = behind
         .filter_map(|node| node.admin)
         .filter(|peer| !seeds.contains(peer));
-    let behind: Vec<_> = behind.take(MAX_DIRECT).collect();
+    let mut behind: Vec<_> = behind.collect();
+    let turn = (number * MAX_DIRECT) % behind.len().max(1);
+    behind.rotate_left(turn);
+    behind.truncate(MAX_DIRECT);
     let more = nodes.statuses(behind).await;
     for (peer, status) in &more.answers {
         fleet.observe(*peer, status);
