Show the logs of the nodes when a process test fails

Cause: a test that waited too long said nothing about the nodes. Change: the fleet of the tests prints the end of each node's log when a test panics. Before: no evidence.

--- a/hitch-node/tests/it/fleet.rs
+++ b/hitch-node/tests/it/fleet.rs
@@ -27,6 +27,9 @@
 /// Longest time that a test waits for something that must come.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Lines of each node's log that a failed test shows.
+const LOG_LINES: usize = 60;
+
 /// A node process with its backend server.
 pub struct Member {
     pub caller: SocketAddr,
@@ -355,3 +358,19 @@
         }
     }
 }
+
+impl Drop for Fleet {
+    /// Shows the end of each node's log when a test fails.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for member in &self.members {
+            let path = member.settings.with_extension("log");
+            let text = std::fs::read_to_string(&path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let tail = &lines[lines.len().saturating_sub(LOG_LINES)..];
+            eprintln!("--- {}\n{}", path.display(), tail.join("\n"));
+        }
+    }
+}
