Measure restarts of single nodes and pushed records

Cause: the decision on dissemination needs the alternatives measured alike. Before: only announce-then-pull and tailing could be run.

--- a/hitch-spread/examples/convergence/fleet.rs
+++ b/hitch-spread/examples/convergence/fleet.rs
@@ -47,6 +47,7 @@
     LogRead(usize, Poll),
     LogWaited(usize, Poll),
     Append,
+    Kill(usize),
     Return(usize),
 }
 
@@ -55,6 +56,8 @@
 
 pub struct Node {
     pub up: bool,
+    /// Times that the node was started.
+    runs: u8,
     born: Duration,
     pub roster: Roster,
     pub spread: Spread,
@@ -134,6 +137,7 @@
         self.after(phase, Event::Tick(i, self.now));
         Node {
             up: true,
+            runs: 1,
             born: self.now,
             roster,
             spread: Spread::new(Default::default()),
@@ -222,21 +226,39 @@
                     self.log_answer(reader, poll);
                 }
             }
-            Event::Return(at) => {
-                let own = Member::starting(Incarnation([2; 16]), self.contacts[at].clone());
-                let seeds = (0..8).map(|_| self.rng.random_range(0..self.args.nodes));
-                let seeds = seeds.map(|i| i.to_string().into()).collect();
-                let options = hitch_roster::Options {
-                    seeds,
-                    ..Default::default()
-                };
-                self.nodes[at] = self.new_node(at, Roster::new(own, options));
-            }
+            Event::Kill(at) => self.kill(at),
+            Event::Return(at) => self.start(at),
             Event::Sent(at, ticket) => self.nodes[at].spread.sent_snapshot(ticket),
             _ => {}
         }
     }
 
+    /// Starts a node that knows nothing but some seeds.
+    fn start(&mut self, at: usize) {
+        let runs = self.nodes[at].runs + 1;
+        let own = Member::starting(Incarnation([runs; 16]), self.contacts[at].clone());
+        let seeds = (0..8).map(|_| self.rng.random_range(0..self.args.nodes));
+        let seeds = seeds.map(|i| i.to_string().into()).collect();
+        let options = hitch_roster::Options {
+            seeds,
+            ..Default::default()
+        };
+        let node = self.new_node(at, Roster::new(own, options));
+        self.nodes[at] = Node { runs, ..node };
+    }
+
+    /// Kills a node at once; it returns soon.
+    fn kill(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.up = false;
+        for offset in LOG_FIRST..node.spread.next_offset() {
+            self.changes[(offset - LOG_FIRST) as usize].holders -= 1;
+        }
+        self.polls.remove(&at);
+        let boot = Duration::from_millis(self.rng.random_range(100..600));
+        self.after(boot, Event::Return(at));
+    }
+
     fn tick(&mut self, at: usize) {
         let now = self.local(at);
         let node = &mut self.nodes[at];
@@ -323,6 +345,10 @@
                     for key in self.nodes[at].roster.announce_peers(peers, &mut self.rng) {
                         let mut message = Message::new(Kind::Notify);
                         message.config = self.config(at);
+                        if self.args.push {
+                            let spread = &self.nodes[at].spread;
+                            message.records = spread.few_records(spread.next_offset() - 1, 1 << 20);
+                        }
                         self.send(at, self.index(at, key).unwrap_or(at), message);
                     }
                 }
@@ -369,7 +395,10 @@
                     .into_iter()
                     .for_each(|t| self.after(SNAPSHOT_TIME, Event::Sent(at, t)));
             }
-            Kind::Fetched => outcome = spread.received_records(now, source, message.records),
+            Kind::Notify if message.records.is_empty() => {}
+            Kind::Fetched | Kind::Notify => {
+                outcome = spread.received_records(now, source, message.records)
+            }
             Kind::Snapshot => outcome = spread.received_snapshot(now, Some(source), message.next),
             Kind::Busy => spread.failed(now, source, &mut self.rng),
             Kind::Probe if target_up => {
@@ -390,7 +419,7 @@
                 spread.confirmed(now, message.asked, message.next);
                 self.nodes[at].read_until = Duration::ZERO;
             }
-            Kind::Notify | Kind::Probe => {}
+            Kind::Probe => {}
         }
         if let Some(config) = message.config.filter(|_| !tail) {
             let asked = Some(message.asked).filter(|_| message.kind == Kind::Answer);
@@ -429,14 +458,7 @@
             all.swap(i, other);
         }
         for at in all.into_iter().take(self.args.nodes / 2) {
-            let node = &mut self.nodes[at];
-            node.up = false;
-            for offset in LOG_FIRST..node.spread.next_offset() {
-                self.changes[(offset - LOG_FIRST) as usize].holders -= 1;
-            }
-            self.polls.remove(&at);
-            let boot = Duration::from_millis(self.rng.random_range(100..600));
-            self.after(boot, Event::Return(at));
+            self.kill(at);
         }
     }
 
--- a/hitch-spread/examples/convergence/main.rs
+++ b/hitch-spread/examples/convergence/main.rs
@@ -46,6 +46,12 @@
     /// baseline: every node reads the log, none tells another
     #[argh(switch)]
     tail: bool,
+    /// restarts of single nodes in a day, without announcement
+    #[argh(option, default = "0")]
+    restarts_a_day: u32,
+    /// alternative: announcements carry the latest record
+    #[argh(switch)]
+    push: bool,
     /// kills half of the nodes at once during the changes and returns them
     #[argh(switch)]
     restart: bool,
@@ -64,8 +70,8 @@
 fn main() {
     let args: Args = argh::from_env();
     let (nodes, changes, restart) = (args.nodes, args.changes, args.restart);
-    let (seed, loss, tail) = (args.seed, args.loss, args.tail);
-    println!("nodes {nodes} changes {changes} seed {seed} loss {loss} tail {tail}");
+    let (seed, loss, tail, push) = (args.seed, args.loss, args.tail, args.push);
+    println!("nodes {nodes} changes {changes} seed {seed} loss {loss} tail {tail} push {push}");
     let resident = resident_bytes();
     let mut fleet = Fleet::new(args);
     fleet.run_until(Duration::from_secs(10));
@@ -99,6 +105,12 @@
         fleet.after(CHANGE_INTERVAL * i + jitter, Event::Append);
     }
     let time = CHANGE_INTERVAL * changes + Duration::from_secs(10);
+    let restarts = time.as_secs_f64() * fleet.args.restarts_a_day as f64 / 86_400.0;
+    for _ in 0..restarts as usize {
+        let at = time.mul_f64(fleet.rng.random());
+        let node = fleet.rng.random_range(0..fleet.args.nodes);
+        fleet.after(at, Event::Kill(node));
+    }
     let (bytes, reads) = rates(fleet, time);
     let cpu = begin.elapsed().as_secs_f64() / nodes / (fleet.now - from).as_secs_f64();
     let per_change = time.as_secs_f64() / changes as f64;
