Measure the queue in floods and protect the urgent rank from lent slots

Running calls are not preempted, and lent calls that started together also end together. Change: while urgent calls wait too long, one slot is kept free of lent work and the starts of the other ranks are spaced out. Adds the example `flood` and the same targets as tests; the flood starts after a calm warm-up, and calls without an answer count with their deadline.

--- a/hitch-admission/src/lib.rs
+++ b/hitch-admission/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod poll;
 pub mod queue;
 mod rank;
+mod reserve;
 
 pub use cancel::Cancelled;
 pub use finish::Finished;
--- a/hitch-admission/src/offer.rs
+++ b/hitch-admission/src/offer.rs
@@ -81,7 +81,8 @@
             expected: offer.expected,
             state: CallState::Queued,
         };
-        let free = self.running < self.limit.at(now) && self.queued() == 0;
+        let waits = !self.ranks[offer.rank.position()].queue.is_empty();
+        let free = !waits && self.may_start(now, offer.rank);
         let wait = match free {
             true => Duration::ZERO,
             false => self.shortest_wait(now),
--- a/hitch-admission/src/poll.rs
+++ b/hitch-admission/src/poll.rs
@@ -13,6 +13,12 @@
 use crate::queue::Ticket;
 use crate::rank::RankId;
 
+/// Time after which calls that wait while a slot is kept free are looked at again.
+const RECHECK: Duration = Duration::from_millis(5);
+
+/// Shortest such time, so that a slot that is kept free does not keep the caller busy.
+const SHORTEST_RECHECK: Duration = Duration::from_micros(200);
+
 /// What the caller of the queue has to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Command {
@@ -39,10 +45,7 @@
         self.advance(now);
         self.cancel_overdue(now);
         self.refuse_hopeless(now);
-        while self.running < self.limit.at(now) {
-            let Some(ticket) = self.next_ticket(now) else {
-                break;
-            };
+        while let Some(ticket) = self.next_ticket(now) {
             self.start(now, ticket);
             self.pending.push(Command::Start(ticket));
         }
@@ -73,6 +76,9 @@
         {
             consider(step);
         }
+        if self.queued() > 0 && self.running < self.limit.at(now) {
+            consider((now + RECHECK).min(self.reserve.next_start().max(now + SHORTEST_RECHECK)));
+        }
         next.map(|next| next.max(now))
     }
 
@@ -83,10 +89,18 @@
         };
         call.state = CallState::Running { since: now };
         self.running += 1;
-        let Some(rank) = call.rank else { return };
-        let rank = &mut self.ranks[rank.position()];
+        let wait = now.saturating_sub(call.arrived);
+        let Some(id) = call.rank else { return };
+        let limit = self.limit.at(now);
+        let rank = &mut self.ranks[id.position()];
         rank.running += 1;
         rank.queue.retain(|queued| *queued != ticket);
+        match id.position() {
+            0 => self.reserve.observe_wait(wait, rank.estimate.long()),
+            _ => self
+                .reserve
+                .observe_start(now, rank.estimate.at(now), limit),
+        }
     }
 
     /// Latest start that lets a call end by `end`, as far as its service time is known.
@@ -147,19 +161,35 @@
     /// Ranks that run less than their guaranteed share go first, then the most urgent rank.
     fn next_ticket(&self, now: Duration) -> Option<Ticket> {
         let limit = self.limit.at(now);
-        for rank in &self.ranks {
-            if rank.queue.is_empty() || !rank.is_entitled(limit) {
-                continue;
-            }
-            return self.next_of_rank(now, rank.queue.front().copied()?);
-        }
-        for rank in &self.ranks {
+        let mut lent = None;
+        for (position, rank) in self.ranks.iter().enumerate() {
             let Some(oldest) = rank.queue.front() else {
                 continue;
             };
-            return self.next_of_rank(now, *oldest);
+            if !self.may_start(now, RankId::new(position as u16)) {
+                continue;
+            }
+            if rank.is_entitled(limit) {
+                return self.next_of_rank(now, *oldest);
+            }
+            lent = lent.or(Some(*oldest));
+        }
+        self.next_of_rank(now, lent?)
+    }
+
+    /// Whether a call of `rank` may take a free slot now.
+    pub(crate) fn may_start(&self, now: Duration, rank: RankId) -> bool {
+        let limit = self.limit.at(now);
+        if rank.position() == 0 {
+            return self.running < limit;
+        }
+        if now < self.reserve.next_start() {
+            return false;
+        }
+        if self.ranks[rank.position()].is_entitled(limit) {
+            return self.running < limit;
         }
-        None
+        self.running + self.reserve.slots() < limit
     }
 
     fn next_of_rank(&self, now: Duration, oldest: Ticket) -> Option<Ticket> {
--- a/hitch-admission/src/queue.rs
+++ b/hitch-admission/src/queue.rs
@@ -11,6 +11,7 @@
 use crate::poll::Command;
 use crate::rank::RankId;
 use crate::rank::RankState;
+use crate::reserve::Reserve;
 
 new_key_type! {
     /// One call that is queued or running.
@@ -59,6 +60,8 @@
     pub(crate) ranks: Vec<RankState>,
     pub(crate) calls: SlotMap<Ticket, Call>,
     pub(crate) limit: Limit,
+    /// Protection of the most urgent rank from lent work.
+    pub(crate) reserve: Reserve,
     pub(crate) running: u32,
     pub(crate) draining: bool,
     pub(crate) pending: Vec<Command>,
@@ -102,6 +105,7 @@
             slots: service.slots.max(1),
             ranks: ranks.iter().map(RankState::new).collect(),
             calls: SlotMap::with_key(),
+            reserve: Reserve::default(),
             running: 0,
             draining: false,
             pending: Vec::new(),
@@ -239,6 +243,7 @@
     pub(crate) fn advance(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.last);
         self.last = self.last.max(now);
+        self.reserve.decay(elapsed);
         let limit = self.limit.at(now);
         for rank in &mut self.ranks {
             rank.accrue(now, elapsed, limit);
--- a/hitch-admission/tests/it/main.rs
+++ b/hitch-admission/tests/it/main.rs
@@ -1,6 +1,11 @@
 //! Tests of admission control.
+mod flood;
+#[path = "../../examples/flood/measure.rs"]
+mod measure;
 mod offer;
 mod poll;
+#[path = "../../examples/flood/sim.rs"]
+mod sim;
 
 use std::time::Duration;
 
