Let nodes that start together find each other at once

Cause: a node that knew any other node tried its seeds only every tenth period, and could pick its own address as a seed, so a fleet that starts together formed groups that met after up to 10 s.

--- a/hitch-roster/src/detect.rs
+++ b/hitch-roster/src/detect.rs
@@ -309,16 +309,17 @@
             return;
         }
         let jitter = rng.random_range(0.9..1.1);
-        let starting = self.own().state == State::Starting;
-        let period = match starting && now < self.options.hurry_for {
+        let period = match now < self.options.hurry_for {
             true => self.options.starting_period,
             false => self.options.period,
         };
         self.detector.next_period = Some(now + period.mul_f64(jitter));
         self.detector.periods += 1;
         let periods = self.detector.periods;
-        if self.live_count() <= 1 || periods.is_multiple_of(self.options.rejoin_every.max(1)) {
-            commands.extend(self.rejoin(rng));
+        let rejoin = periods.is_multiple_of(self.options.rejoin_every.max(1));
+        match self.live_count() <= 1 || rejoin {
+            true => commands.extend(self.rejoin(rng)),
+            false => commands.extend(self.missing_seed(now, rng)),
         }
         let elsewhere = periods.is_multiple_of(self.options.other_zone_every.max(1));
         if let Some(key) = self.random_peer(elsewhere, rng) {
@@ -326,6 +327,26 @@
         }
     }
 
+    /// Picks a seed that no live member has as its address, while the process is young.
+    ///
+    /// Nodes that start together would otherwise form groups, each of which is content with itself
+    /// until its next attempt to rejoin.
+    fn missing_seed(&self, now: Duration, rng: &mut impl rand::Rng) -> Option<Command> {
+        if now >= self.options.hurry_for {
+            return None;
+        }
+        let mut missing = self.options.seeds.clone();
+        for key in self.zones.values().flatten() {
+            missing.retain(|seed| *seed != self.entries[*key].contact.address);
+        }
+        if missing.is_empty() {
+            return None;
+        }
+        let at = rng.random_range(0..missing.len());
+        let with = Peer::Seed(missing.swap_remove(at));
+        Some(Command::Exchange { with })
+    }
+
     fn rejoin(&self, rng: &mut impl rand::Rng) -> Option<Command> {
         let mut gone = Vec::new();
         for key in self.since.keys() {
@@ -333,7 +354,8 @@
                 gone.push(*key);
             }
         }
-        let seeds = &self.options.seeds;
+        let own = &self.entries[self.own].contact.address;
+        let seeds: Vec<&Box<str>> = self.options.seeds.iter().filter(|s| *s != own).collect();
         if gone.is_empty() && seeds.is_empty() {
             return None;
         }
--- a/hitch-roster/src/roster.rs
+++ b/hitch-roster/src/roster.rs
@@ -18,9 +18,9 @@
 pub struct Options {
     /// Mean time between two exchanges that a node starts.
     pub period: Duration,
-    /// The same while the node starts, for as long as `hurry_for` after process start.
+    /// The same for as long as `hurry_for` after process start.
     pub starting_period: Duration,
-    /// Longest time for which a starting node exchanges more often.
+    /// Time after process start in which a node exchanges more often.
     pub hurry_for: Duration,
     /// Time within which a peer must answer an exchange.
     pub direct_timeout: Duration,
--- a/hitch-roster/tests/it/detect.rs
+++ b/hitch-roster/tests/it/detect.rs
@@ -43,6 +43,27 @@
         }
     }
 
+    /// Makes nodes that know only themselves and the first `seeds` addresses.
+    fn starting(count: usize, seeds: usize, seed: u64) -> Fleet {
+        let mut rosters = Vec::new();
+        for i in 0..count {
+            let seeds = (0..seeds).map(|i| format!("n{i}:70").into()).collect();
+            let options = Options {
+                seeds,
+                ..Options::default()
+            };
+            let mut own = Roster::new(member(&format!("n{i}"), "a"), options);
+            own.set_state(Duration::ZERO, State::Ready);
+            rosters.push(own);
+        }
+        Fleet {
+            now: Duration::ZERO,
+            rosters,
+            groups: vec![0; count],
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
     fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -61,7 +82,13 @@
                 with: Peer::Member(key),
             } => (key, None),
             Command::ProbeVia { target, via } => (target, Some(via)),
-            Command::Exchange { .. } => return,
+            Command::Exchange {
+                with: Peer::Seed(address),
+            } => {
+                let to = address[1..].trim_end_matches(":70").parse().unwrap();
+                self.exchange(at, to);
+                return;
+            }
         };
         let to = self.index(at, target);
         let reaches = |a: usize, b: usize| self.groups[a] == self.groups[b];
@@ -77,7 +104,12 @@
             return;
         }
         self.rosters[at].answered(target);
-        let mut sent = self.rosters[at].take_recent(Some(target));
+        self.exchange(at, to);
+    }
+
+    fn exchange(&mut self, at: usize, to: usize) {
+        let target = self.rosters[at].try_find(&format!("n{to}"));
+        let mut sent = self.rosters[at].take_recent(target);
         sent.push(self.rosters[at].own());
         let digest = self.rosters[at].digest();
         self.rosters[to].merge(self.now, sent);
@@ -113,6 +145,19 @@
     }
 }
 
+/// Guards against nodes that start together and form groups, each of which is content with itself.
+#[test]
+fn fleet_that_starts_together_is_whole_within_3_s() {
+    for seed in 0..200 {
+        let mut fleet = Fleet::starting(4, 2, seed);
+        fleet.run(Duration::from_secs(3));
+        for at in 0..4 {
+            let known = fleet.rosters[at].live_count();
+            assert_eq!(known, 4, "seed {seed}: n{at} knows {known} members");
+        }
+    }
+}
+
 /// Guards against two sides that stay apart once gone members are no longer passed on.
 #[test]
 fn healed_partition_is_whole_again() {
