Keep the share of a rank whose target is shorter than its service time

Cause: a queued call that would miss its target was refused whenever any other call that could meet its own waited. A rank with a target below its service time so lost its share to less urgent ranks. Change: only calls of the same rank count.

--- a/hitch-admission/src/offer.rs
+++ b/hitch-admission/src/offer.rs
@@ -38,7 +38,7 @@
     UnknownRank,
     /// The call cannot end before its deadline.
     Deadline,
-    /// The call would miss the target latency of its rank while others that can meet theirs wait.
+    /// The call would miss the target latency of its rank while others of the rank that can meet it wait.
     Target,
     /// The queue is full of calls that are at least as worthy.
     Full,
--- a/hitch-admission/src/poll.rs
+++ b/hitch-admission/src/poll.rs
@@ -130,12 +130,15 @@
     }
 
     /// Refuses queued calls that cannot meet their deadline, and those that would miss their target while
-    /// others that can meet theirs wait.
+    /// others of their rank that can meet theirs wait.
+    ///
+    /// Calls of other ranks don't count: a rank whose target is shorter than its service time would otherwise
+    /// lose its share to them.
     fn refuse_hopeless(&mut self, now: Duration) {
         let mut hopeless = Vec::new();
-        let mut late = Vec::new();
-        let mut on_time = 0;
         for rank in &self.ranks {
+            let mut late = Vec::new();
+            let mut on_time = 0;
             for ticket in &rank.queue {
                 let call = &self.calls[*ticket];
                 if now >= self.latest_start(now, call, call.deadline) {
@@ -146,9 +149,9 @@
                     late.push((*ticket, Reason::Target));
                 }
             }
-        }
-        if on_time > 0 {
-            hopeless.append(&mut late);
+            if on_time > 0 {
+                hopeless.append(&mut late);
+            }
         }
         for (ticket, reason) in hopeless {
             self.remove(ticket);
--- a/hitch-admission/tests/it/main.rs
+++ b/hitch-admission/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of admission control.
 mod flood;
+mod invariants;
 #[path = "../../examples/flood/measure.rs"]
 mod measure;
 mod offer;
--- a/hitch-admission/tests/it/poll.rs
+++ b/hitch-admission/tests/it/poll.rs
@@ -62,6 +62,18 @@
     );
 }
 
+/// Guards against a rank that loses its share because its target is shorter than its service time.
+#[test]
+fn late_call_keeps_the_share_of_its_rank() {
+    let mut queue = queue();
+    let [first, _] = fill(&mut queue, 2);
+    let old = queued(&mut queue, WARM, offer(0));
+    let now = WARM + ms(151);
+    queued(&mut queue, now, offer(2));
+    queue.finish(now, first, Finished::Failed);
+    assert_eq!(queue.poll(now), [Command::Start(old)]);
+}
+
 /// Guards against a call that holds its slot for ever.
 #[test]
 fn running_call_is_cancelled_at_its_deadline() {
