Divide a customer's limits among the nodes of its service

Cause: the admit limits of a contract were not enforced by the nodes. Change: a controller for shares, the Share call between nodes, details of roster buckets on the wire; a node is ready only when the other nodes of its service count it. Before: every call was admitted.

--- a/hitch-node/src/blackboard.rs
+++ b/hitch-node/src/blackboard.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
@@ -16,9 +17,11 @@
 use hitch_route::Pool;
 use hitch_route::Switch;
 use hitch_route::Table;
+use hitch_share::Share;
 use hitch_spread::Spread;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::controller::ownership::Tail;
 use crate::gate::Gate;
@@ -77,6 +80,8 @@
     pub tail: Mutex<Tail>,
     /// Retry budget of calls that enter here.
     pub bucket: Mutex<Bucket>,
+    /// Share of this node in the limits of the own service.
+    pub share: Mutex<Share>,
     /// The node itself.
     pub own: Mutex<Own>,
     /// Wakes the ownership controller, which pulls at once.
@@ -100,6 +105,8 @@
     /// assert_eq!(board.table.load().version(), 0);
     /// ```
     pub fn new(roster: Roster, instance: &str, incarnation: [u8; 16], shards: u32) -> Blackboard {
+        // The grants of one run must not be taken for those of an earlier one.
+        let run = xxh3_64(&incarnation) as u32;
         let mut bucket = Bucket::new(Default::default());
         for _ in 0..INITIAL_RETRIES {
             bucket.put_back(Budget::from_milli(1_000));
@@ -116,6 +123,12 @@
             once: Mutex::new(once::Section::new(instance, incarnation)),
             tail: Mutex::default(),
             bucket: Mutex::new(bucket),
+            share: Mutex::new(Share::new(
+                Duration::ZERO,
+                instance,
+                run,
+                Default::default(),
+            )),
             own: Mutex::default(),
             ownership_wake: Notify::new(),
             ownership_pulls: watch::Sender::new(0),
--- a/hitch-node/src/controller/exchange.rs
+++ b/hitch-node/src/controller/exchange.rs
@@ -123,11 +123,12 @@
     let config = digest(node);
     let mut roster = lock(&node.board.roster);
     let members = roster.take_recent(None);
+    let details = roster.details();
     ExchangeRequest {
         stamp: node.recorder.stamp(),
         sender: Some(wire::from_member(&roster.own())),
         config: Some(config),
-        roster: Some(wire::from_digest(&roster.digest())),
+        roster: Some(wire::from_digest(&roster.digest(), &details)),
         members: members.iter().map(wire::from_member).collect(),
     }
 }
@@ -174,15 +175,23 @@
     members.extend(sender.clone());
     merge(node, members);
     let theirs = req.roster.and_then(wire::to_digest);
-    let own = {
+    let (own, members, hashes) = {
         let mut roster = lock(&node.board.roster);
-        let missing = theirs
-            .map(|theirs| roster.missing(&theirs))
-            .unwrap_or_default();
-        let mut out = roster.take_recent(None);
-        out.extend(missing);
+        let sender = sender
+            .as_ref()
+            .and_then(|s| roster.try_find(&s.contact.instance));
+        let mut out = roster.take_recent(sender);
+        out.extend(match theirs {
+            Some((digest, details)) if details.is_empty() => roster.missing(&digest),
+            Some((digest, details)) => roster.missing_by(&digest, &details),
+            None => Vec::new(),
+        });
         let members = out.iter().map(wire::from_member).collect();
-        (roster.own(), members, wire::from_digest(&roster.digest()))
+        (
+            roster.own(),
+            members,
+            wire::from_digest(&roster.digest(), &[]),
+        )
     };
     let records = match req.config {
         Some(theirs) => {
@@ -191,7 +200,6 @@
         }
         None => Vec::new(),
     };
-    let (own, members, hashes) = own;
     let reply = ExchangeReply {
         stamp: node.recorder.stamp(),
         sender: Some(wire::from_member(&own)),
--- a/hitch-node/src/controller/mod.rs
+++ b/hitch-node/src/controller/mod.rs
@@ -7,4 +7,5 @@
 pub mod membership;
 pub mod ownership;
 pub mod reader;
+pub mod share;
 pub mod snapshot;
--- /dev/null
+++ b/hitch-node/src/controller/share.rs
@@ -0,0 +1,182 @@
+//! Divides the limits of the own service among its nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hitch_proto::peer;
+use hitch_proto::peer::ShareReply;
+use hitch_proto::peer::ShareRequest;
+use hitch_roster::State;
+use hitch_share::Command;
+use hitch_share::Demand;
+use hitch_share::Message;
+use prost::Message as _;
+
+use crate::node::Node;
+use crate::peers::Class;
+use crate::shards::lock;
+
+/// Time between two ticks, as the shares expect it.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Longest time that a node takes to answer.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Ticks the share of this node for as long as it runs.
+///
+/// ```no_run
+/// # async fn run(node: std::sync::Arc<hitch_node::Node>) {
+/// hitch_node::controller::share::run(node).await
+/// # }
+/// ```
+pub async fn run(node: Arc<Node>) {
+    let mut version = 0;
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        version = set_limits(&node, version);
+        let members = members(&node);
+        let commands = {
+            let mut share = lock(&node.board.share);
+            let now = node.time.now();
+            share.members_changed(now, members.iter().map(|m| &**m));
+            share.tick(now, &mut rand::rng())
+        };
+        carry_out(&node, commands);
+    }
+}
+
+/// Sets the limits of the version in force, if it changed.
+fn set_limits(node: &Node, version: u64) -> u64 {
+    let table = node.table();
+    if table.version() == version {
+        return version;
+    }
+    let Some(contract) = table.try_contract(&node.settings.backend.customer) else {
+        return table.version();
+    };
+    let mut share = lock(&node.board.share);
+    for rank in &contract.ranks {
+        let per_second = f64::from(rank.admit_per_second);
+        share.set_limit(node.time.now(), &contract.customer, &rank.name, per_second);
+    }
+    table.version()
+}
+
+/// Lists the nodes of the own service that are not suspected or gone.
+fn members(node: &Node) -> Vec<Box<str>> {
+    let mut members = Vec::new();
+    for (_, member) in lock(&node.board.roster).members() {
+        if member.contact.service != node.settings.backend.service {
+            continue;
+        }
+        if matches!(
+            member.state,
+            State::Starting | State::Ready | State::Draining
+        ) {
+            members.push(member.contact.instance.clone());
+        }
+    }
+    members
+}
+
+fn carry_out(node: &Arc<Node>, commands: Vec<Command>) {
+    for Command::Send { to, message } in commands {
+        let instance = lock(&node.board.share).instance(to).map(Box::<str>::from);
+        let Message::Request(demands) = message else {
+            continue;
+        };
+        let Some(instance) = instance else { continue };
+        let node = node.clone();
+        tokio::spawn(async move {
+            let send = send(&node, &instance, &demands);
+            let _ = tokio::time::timeout(TIMEOUT, send).await;
+        });
+    }
+}
+
+async fn send(node: &Arc<Node>, instance: &str, demands: &[Demand]) -> Option<()> {
+    let address = {
+        let roster = lock(&node.board.roster);
+        roster
+            .get(roster.try_find(instance)?)?
+            .contact
+            .address
+            .clone()
+    };
+    let mut client = node.peers.client(&address, Class::Control).await.ok()?;
+    let req = ShareRequest {
+        stamp: node.recorder.stamp(),
+        from_instance: node.settings.instance.to_string(),
+        service: node.settings.backend.service.to_string(),
+        demands: demands.iter().map(to_wire).collect(),
+    };
+    node.metrics.control("share", "sent", req.encoded_len());
+    let reply = client.share(req).await.ok()?.into_inner();
+    node.metrics
+        .control("share", "received", reply.encoded_len());
+    node.recorder.observe(reply.stamp);
+    let demands = reply.demands.into_iter().map(from_wire).collect();
+    let commands =
+        lock(&node.board.share).receive(node.time.now(), instance, Message::Reply(demands));
+    carry_out(node, commands);
+    Some(())
+}
+
+/// Answers a request of another node of the service.
+///
+/// ```no_run
+/// # fn run(node: hitch_node::Node) {
+/// let reply = hitch_node::controller::share::answer(&node, Default::default());
+/// # }
+/// ```
+pub fn answer(node: &Node, req: ShareRequest) -> Result<ShareReply, tonic::Status> {
+    node.metrics.control("share", "received", req.encoded_len());
+    if *req.service != *node.settings.backend.service {
+        return Err(tonic::Status::failed_precondition(
+            "another service runs here",
+        ));
+    }
+    let demands = req.demands.into_iter().map(from_wire).collect();
+    let message = Message::Request(demands);
+    let commands = lock(&node.board.share).receive(node.time.now(), &req.from_instance, message);
+    let mut answered = None;
+    for Command::Send { message, .. } in commands {
+        let Message::Reply(demands) = message else {
+            continue;
+        };
+        answered = Some(demands.iter().map(to_wire).collect());
+    }
+    // Without a reply the sender must not take itself for acknowledged.
+    let Some(demands) = answered else {
+        return Err(tonic::Status::unavailable(
+            "the sender is not known as a node of the service",
+        ));
+    };
+    let reply = ShareReply {
+        stamp: node.recorder.stamp(),
+        demands,
+    };
+    node.metrics.control("share", "sent", reply.encoded_len());
+    Ok(reply)
+}
+
+fn to_wire(demand: &Demand) -> peer::Demand {
+    peer::Demand {
+        customer: demand.customer.to_string(),
+        rank: demand.rank.to_string(),
+        offered: demand.offered,
+        granted: demand.granted,
+        grant_id: demand.grant_id,
+        grant_ms: demand.grant.as_millis() as u32,
+    }
+}
+
+fn from_wire(demand: peer::Demand) -> Demand {
+    Demand {
+        customer: demand.customer.into(),
+        rank: demand.rank.into(),
+        offered: demand.offered,
+        granted: demand.granted,
+        grant_id: demand.grant_id,
+        grant: Duration::from_millis(demand.grant_ms.into()),
+    }
+}
--- a/hitch-node/src/listener/peer.rs
+++ b/hitch-node/src/listener/peer.rs
@@ -31,6 +31,7 @@
 
 use crate::controller::exchange;
 use crate::controller::ownership;
+use crate::controller::share;
 use crate::execute;
 use crate::node::Node;
 use crate::peers::MAX_MESSAGE_BYTES;
@@ -114,10 +115,7 @@
     async fn share(&self, req: Request<ShareRequest>) -> Result<Response<ShareReply>, Status> {
         let req = req.into_inner();
         self.node.recorder.observe(req.stamp);
-        Ok(Response::new(ShareReply {
-            stamp: self.node.recorder.stamp(),
-            demands: Vec::new(),
-        }))
+        share::answer(&self.node, req).map(Response::new)
     }
 
     async fn fetch_ownership(
--- a/hitch-node/src/node.rs
+++ b/hitch-node/src/node.rs
@@ -131,6 +131,9 @@
         if !lock(&self.board.spread).is_ready() {
             return Some("the node has not caught up since it started");
         }
+        if !lock(&self.board.share).has_base(self.time.now()) {
+            return Some("the other nodes of the service do not count this one yet");
+        }
         if !own.backend_up {
             return Some("the backend server accepts no connections");
         }
@@ -295,8 +298,12 @@
     /// assert!(node.admit("association", "fee"));
     /// # }
     /// ```
-    pub fn admit(&self, _customer: &str, _rank: &str) -> bool {
-        true
+    pub fn admit(&self, customer: &str, rank: &str) -> bool {
+        let mut share = lock(&self.board.share);
+        match share.try_find(customer, rank) {
+            Some(limit) => share.admit(self.time.now(), limit),
+            None => false,
+        }
     }
 
     /// Returns whether the call crashed too many backend servers before.
--- a/hitch-node/src/run.rs
+++ b/hitch-node/src/run.rs
@@ -164,6 +164,7 @@
         tokio::spawn(controller::ownership::run(node.clone())),
         tokio::spawn(controller::ownership::tail(node.clone())),
         tokio::spawn(controller::reader::run(node.clone())),
+        tokio::spawn(controller::share::run(node.clone())),
         tokio::spawn(controller::snapshot::run(node.clone())),
     ]
 }
--- a/hitch-node/src/wire.rs
+++ b/hitch-node/src/wire.rs
@@ -2,6 +2,7 @@
 
 use hitch_proto::peer;
 use hitch_roster::Contact;
+use hitch_roster::Detail;
 use hitch_roster::Digest;
 use hitch_roster::Incarnation;
 use hitch_roster::Member;
@@ -81,24 +82,43 @@
     wire.into_iter().filter_map(to_member).collect()
 }
 
-/// Converts a digest of the roster to its message.
+/// Converts a digest of the roster and details of some of its buckets to their message.
 ///
 /// ```
 /// let digest = hitch_roster::Digest([0; 64]);
-/// assert_eq!(hitch_node::wire::from_digest(&digest).bucket_hashes.len(), 64);
+/// assert_eq!(hitch_node::wire::from_digest(&digest, &[]).bucket_hashes.len(), 64);
 /// ```
-pub fn from_digest(digest: &Digest) -> peer::RosterDigest {
-    peer::RosterDigest {
+pub fn from_digest(digest: &Digest, details: &[Detail]) -> peer::RosterDigest {
+    let mut out = peer::RosterDigest {
         bucket_hashes: digest.0.to_vec(),
+        ..Default::default()
+    };
+    for detail in details {
+        out.details.push(peer::BucketDetail {
+            bucket: detail.bucket as u32,
+            member_hashes: detail.hashes.clone(),
+        });
     }
+    out
 }
 
-/// Converts a message to a digest of the roster, or nothing when it is not a valid one.
+/// Converts a message to a digest of the roster and its details, or nothing when it is not valid.
 ///
 /// ```
 /// assert!(hitch_node::wire::to_digest(Default::default()).is_none());
 /// ```
-pub fn to_digest(wire: peer::RosterDigest) -> Option<Digest> {
+pub fn to_digest(wire: peer::RosterDigest) -> Option<(Digest, Vec<Detail>)> {
     let hashes: [u64; BUCKETS] = wire.bucket_hashes.try_into().ok()?;
-    Some(Digest(hashes))
+    let mut details = Vec::new();
+    for detail in wire.details {
+        let bucket = detail.bucket as usize;
+        if bucket >= BUCKETS {
+            return None;
+        }
+        details.push(Detail {
+            bucket,
+            hashes: detail.member_hashes,
+        });
+    }
+    Some((Digest(hashes), details))
 }
--- a/hitch-share/src/members.rs
+++ b/hitch-share/src/members.rs
@@ -119,6 +119,18 @@
         1.0 / self.counted() as f64
     }
 
+    /// Returns whether this node may use its base share, which a node that joins may not yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let share = hitch_share::Share::new(Duration::ZERO, "ledger-1", 1, Default::default());
+    /// assert!(!share.has_base(Duration::ZERO));
+    /// ```
+    pub fn has_base(&self, now: Duration) -> bool {
+        self.standing.has_base(now, &self.options)
+    }
+
     /// Makes this node join anew if it did not tick for too long, because the others may have released its
     /// share.
     pub(crate) fn check_pause(&mut self, now: Duration) {
