--- a/hitch-ctl/src/fleet.rs
+++ b/hitch-ctl/src/fleet.rs
@@ -29,6 +29,9 @@
     /// The node's own report, when there is one.
     #[serde(skip)]
     pub own: Option<Own>,
+    /// Round of polling in which a report last named the node.
+    #[serde(skip)]
+    named_in: u64,
 }
 
 /// What only the node itself reports.
@@ -46,6 +49,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     nodes: BTreeMap<Box<str>, Node>,
+    round: u64,
 }
 
 impl Fleet {
@@ -60,6 +64,7 @@
     /// assert_eq!(fleet.present().next().unwrap().version_in_force, 3);
     /// ```
     pub fn observe(&mut self, peer: SocketAddr, status: &Status) {
+        let round = self.round;
         for member in &status.members {
             let node = self.entry(&member.instance);
             node.version_in_force = node.version_in_force.max(member.version_in_force);
@@ -68,9 +73,10 @@
             }
             node.admin = node.admin.or(member.admin.parse().ok());
             // A node is gone only when no report says otherwise.
-            if node.state.is_empty() || &*node.state == GONE {
+            if node.named_in != round || node.state.is_empty() || &*node.state == GONE {
                 node.state = member.state.clone();
             }
+            node.named_in = round;
             node.zone = member.zone.clone();
             node.service = member.service.clone();
         }
@@ -78,6 +84,7 @@
         node.version_in_force = node.version_in_force.max(status.version_in_force);
         node.admin = Some(peer);
         node.state = status.state.clone();
+        node.named_in = round;
         node.zone = status.zone.clone();
         node.service = status.service.clone();
         node.own = Some(Own {
@@ -99,22 +106,19 @@
         self.nodes.values().filter(|node| &*node.state != GONE)
     }
 
-    /// Forgets states, addresses and own reports, and keeps the versions in force.
+    /// Starts a round of polling: own reports are forgotten, and a node that the reports of this round
+    /// say is gone is no longer waited for.
     ///
-    /// A round of polling starts with it, so that nodes that left are not waited for.
+    /// A node that no report of this round names is still waited for. Nodes that start learn of each
+    /// other one by one, and the ones polled may not know it yet.
     ///
     /// ```
     /// hitch_ctl::fleet::Fleet::default().start_round();
     /// ```
     pub fn start_round(&mut self) {
+        self.round += 1;
         for node in self.nodes.values_mut() {
-            let kept = Node {
-                instance: node.instance.clone(),
-                version_in_force: node.version_in_force,
-                state: GONE.into(),
-                ..Node::default()
-            };
-            *node = kept;
+            node.own = None;
         }
     }
 
--- a/hitch-node/src/forward.rs
+++ b/hitch-node/src/forward.rs
@@ -138,9 +138,10 @@
             let began = Instant::now();
             self.req.attempt = attempt;
             let reply = self.attempt().await;
-            let outcome = self.judge(&reply);
-            if outcome == Outcome::NotRun(NotRun::NotOwner) {
-                self.redirect(&reply);
+            let mut outcome = self.judge(&reply);
+            if outcome == Outcome::NotRun(NotRun::NotOwner) && !self.redirect(&reply) {
+                // Another attempt at once would be told the same.
+                outcome = Outcome::NotRun(NotRun::NoOwner);
             }
             if self.is_unreachable(outcome) {
                 continue;
@@ -245,14 +246,21 @@
         }
     }
 
-    fn redirect(&mut self, reply: &CallReply) {
+    /// Turns to the owner that a node named, and returns whether it can be reached.
+    fn redirect(&mut self, reply: &CallReply) -> bool {
         if reply.owner_instance.is_empty() {
-            return;
+            return false;
         }
         let owner: Box<str> = reply.owner_instance.as_str().into();
         self.node
             .note_owner(&self.req.service, &self.req.key, owner.clone());
+        let shard = self.node.board.pools.lock(&self.req.service);
+        let known = shard
+            .get(&*self.req.service)
+            .and_then(|pool| pool.try_find(&owner))
+            .is_some();
         self.owner = Some(owner);
+        known
     }
 }
 
--- a/hitch-route/src/pool.rs
+++ b/hitch-route/src/pool.rs
@@ -223,7 +223,10 @@
         Some(self.to_pick(key))
     }
 
-    /// Finds the backend server on an instance, if it accepts calls.
+    /// Finds the backend server on an instance, unless it is leaving.
+    ///
+    /// One that is still known as starting is found too: a caller that asks for it by name knows better,
+    /// because it was told lately that the instance serves.
     ///
     /// ```
     /// assert!(hitch_route::Pool::new("a").try_find("i-1").is_none());
