Check the at-most-once machine exhaustively

Change: a breadth-first search over the real machine in tests: three nodes, two keys, pauses, restarts with empty memory, lost append answers, stale routers, wrong clocks, nodes cut off from the log, leaving nodes. An append of a node may land late or never, and a node may use a shorter prefix of the log than before. Before: no check. Conclusion: no key runs twice and no refusal as not-run is false within these bounds.

--- a/hitch-once/tests/it/main.rs
+++ b/hitch-once/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of at-most-once execution.
 mod key;
 mod map;
+mod model;
 mod owner;
 mod plan;
 mod record;
