Recognise requests that crash backend servers, measure retries

Cause: one request that crashes every backend server must be stopped without refusing the calls beside it, and the bound on retries through 18 levels was not measured.

--- a/hitch-retry/src/lib.rs
+++ b/hitch-retry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod budget;
 pub mod decide;
 pub mod outcome;
+pub mod suspicion;
 
 pub use budget::Bucket;
 pub use budget::Budget;
@@ -41,3 +42,6 @@
 pub use outcome::NotRun;
 pub use outcome::Outcome;
 pub use outcome::Unknown;
+pub use suspicion::Evidence;
+pub use suspicion::Fingerprint;
+pub use suspicion::Suspicion;
--- a/hitch-retry/tests/it/main.rs
+++ b/hitch-retry/tests/it/main.rs
@@ -2,3 +2,4 @@
 mod budget;
 mod decide;
 mod outcome;
+mod suspicion;
