Name the same owners from a trimmed log

Cause: a record whose sequence number was too high was void for readers of the log. A reader of a trimmed log whose first record came late expects lower numbers than others, so it would have passed over valid records and taken others for owners. A call without a key is assigned one whose bucket has a live owner.

--- a/hitch-once/src/map.rs
+++ b/hitch-once/src/map.rs
@@ -26,9 +26,10 @@
 /// From whom a record was received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
-    /// From the log, of which this process read every record since the map began.
+    /// From the log, of which every record since the map began was read here or by the one peer that sent
+    /// them all.
     Log,
-    /// From a peer, which may lack records itself.
+    /// From a peer, which sent what follows the records applied so far and may lack some of them.
     Peer,
 }
 
@@ -39,11 +40,10 @@
     Taken,
     /// The record was applied before.
     Old,
-    /// The record claims a sequence number that its writer cannot have seen, and is void.
-    Void,
 }
 
-/// Records are missing before the one given; the map has to be started anew from a peer or the log.
+/// Records are missing before the one given: the map has to be started anew, from the log or with
+/// everything that a peer holds.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("ownership record {found} arrived before {expected}, records are missing"))]
 pub struct Error {
@@ -162,6 +162,9 @@
 
     /// Applies the record of the service at `offset` of the stream.
     ///
+    /// The sequence number serves to notice a gap and decides nothing else: writers that race use the same
+    /// one, and after a trim the first record kept may be one that came late.
+    ///
     /// ```
     /// use hitch_once::Map;
     /// use hitch_once::Record;
@@ -179,14 +182,11 @@
         }
         let expected = self.next_sequence;
         let found = record.sequence;
-        if found > expected && !self.any_sequence {
-            ensure!(from == Source::Log, Snafu { expected, found });
-            self.next_offset = offset + 1;
-            return Ok(Applied::Void);
-        }
+        let gap = found > expected && !self.any_sequence && from == Source::Peer;
+        ensure!(!gap, Snafu { expected, found });
         self.any_sequence = false;
         self.next_offset = offset + 1;
-        self.next_sequence = expected.max(found + 1);
+        self.next_sequence = expected.max(found.saturating_add(1));
         if let Some(release) = &record.release {
             self.release(release);
         }
@@ -235,6 +235,34 @@
         }
     }
 
+    /// Makes a key dated `now_ms` for a call that came without one, in a bucket with a live owner if any.
+    ///
+    /// ```
+    /// use hitch_once::Key;
+    ///
+    /// let mut random = 0;
+    /// let key = hitch_once::Map::new(0).assign(5, |_| true, || {
+    ///     random += 1;
+    ///     random
+    /// });
+    /// assert_eq!(key, Key::generate(5, random));
+    /// ```
+    pub fn assign(
+        &self,
+        now_ms: u64,
+        is_live: impl Fn(&Holder) -> bool,
+        mut random: impl FnMut() -> u128,
+    ) -> Key {
+        let mut key = Key::generate(now_ms, random());
+        for _ in 0..BUCKETS {
+            if matches!(self.target(key, &is_live), Target::Owner(_)) {
+                break;
+            }
+            key = Key::generate(now_ms, random());
+        }
+        key
+    }
+
     /// Returns the end of the last interval granted, or 0.
     ///
     /// ```
