Guard details, old updates and the last sequence

Cause: details of buckets and the age of updates had no test; an entry of the own instance with the highest sequence would have overflowed the refutation. Change: two tests; a refutation of the highest sequence takes a higher incarnation. Conclusion: a peer can no longer make a node panic by its sequence.

--- a/hitch-roster/src/merge.rs
+++ b/hitch-roster/src/merge.rs
@@ -112,10 +112,12 @@
 
     fn refute(&mut self, now: Duration, seen: &Member) {
         let mut own = self.own();
-        if seen.incarnation > own.incarnation {
-            own.incarnation = seen.incarnation.next();
+        let sequence = own.sequence.max(seen.sequence);
+        if seen.incarnation > own.incarnation || sequence == u64::MAX {
+            own.incarnation = own.incarnation.max(seen.incarnation).next();
         }
-        own.sequence = own.sequence.max(seen.sequence) + 1;
+        // After the last sequence a higher incarnation begins anew.
+        own.sequence = sequence.wrapping_add(1);
         self.replace(now, self.own, own);
         self.detector.urgent = true;
     }
--- a/hitch-roster/tests/it/digest.rs
+++ b/hitch-roster/tests/it/digest.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use hitch_roster::Member;
 use hitch_roster::Options;
 use hitch_roster::Roster;
 use hitch_roster::State;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::member;
 use crate::roster;
@@ -74,3 +77,33 @@
     assert_eq!(roster.digest(), before);
     assert_eq!(roster.take_recent(None), []);
 }
+
+/// Guards against a mass restart after which rosters stay apart for minutes: details must lead to
+/// what differs and nothing else.
+#[test]
+fn details_lead_to_exactly_what_is_missing() {
+    let mut full = roster(500);
+    let mut behind = full.clone();
+    behind.details();
+    assert_eq!(behind.details(), [], "nothing changed");
+    let changed = |i: usize| with(&member(&format!("n{i}"), "a"), 2, State::Ready);
+    full.merge(NOW, (1..100).map(changed));
+    behind.merge(NOW, (50..100).map(changed));
+    let (digest, details) = (behind.digest(), behind.details());
+    let mut missing = full.missing_by(&digest, &details);
+    missing.sort();
+    let mut expected: Vec<Member> = (1..50).map(changed).collect();
+    expected.sort();
+    assert_eq!(missing, expected);
+}
+
+/// Guards against updates that fill messages for minutes after a mass restart.
+#[test]
+fn old_update_is_no_longer_sent() {
+    let mut roster = roster(100);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    roster.tick(Duration::from_secs(14), &mut rng);
+    assert!(!roster.take_recent(None).is_empty());
+    roster.tick(Duration::from_secs(15), &mut rng);
+    assert_eq!(roster.take_recent(None), []);
+}
