Send starting members last and more details after a mass restart

Cause: after a mass restart details covered 512 members of an exchange and messages were filled with members that start, to which no call is routed. Change: starting members go last in every message; details cover up to 2,048 members and a message up to 256; the example tells members in another state from those in an earlier entry.

--- a/hitch-roster/src/digest.rs
+++ b/hitch-roster/src/digest.rs
@@ -8,8 +8,8 @@
 
 use crate::member::Member;
 use crate::member::MemberKey;
-use crate::member::State;
 use crate::merge::Entry;
+use crate::recent::order_of;
 use crate::roster::Roster;
 
 /// Number of buckets; a digest takes 512 bytes.
@@ -27,7 +27,7 @@
 const MANY_CHANGES: u32 = 16;
 
 /// Entries in the details of one message, of 4 bytes each.
-const MAX_DETAILS: usize = 512;
+const MAX_DETAILS: usize = 2048;
 
 /// Hashes of all members by bucket; 0 for an empty bucket.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -198,6 +198,7 @@
                 }
             }
         }
+        members.sort_by_key(|member| order_of(member.state));
         members.truncate(max);
         members
     }
@@ -212,7 +213,7 @@
     fn narrow(&self, members: &mut Vec<MemberKey>, turn: usize) {
         members.sort_unstable_by_key(|key| {
             let entry = &self.entries[*key];
-            (entry.state != State::Draining, Reverse(entry.changed))
+            (order_of(entry.state), Reverse(entry.changed))
         });
         if members.len() <= NEWEST_IN_BUCKET + OTHERS_IN_BUCKET {
             return;
--- a/hitch-roster/src/recent.rs
+++ b/hitch-roster/src/recent.rs
@@ -15,6 +15,18 @@
     pub(crate) sent: u32,
 }
 
+/// Order in which states are sent when not all fit.
+///
+/// Leaving members go first, as a mass start would delay them behind hundreds of updates. Starting
+/// ones go last: no call is routed to them, and they are ready soon.
+pub(crate) fn order_of(state: State) -> u8 {
+    match state {
+        State::Draining => 0,
+        State::Ready | State::Suspect | State::Gone => 1,
+        State::Starting => 2,
+    }
+}
+
 impl Roster {
     pub(crate) fn expire_updates(&mut self, now: Duration) {
         let keep_for = self.options.recent_for;
@@ -34,12 +46,15 @@
     /// assert_eq!(roster.take_recent(None), [own]);
     /// ```
     pub fn take_recent(&mut self, to: Option<MemberKey>) -> Vec<Member> {
-        let mut least_sent: Vec<(bool, u32, Reverse<u32>, MemberKey)> = Vec::new();
+        let mut least_sent: Vec<(u8, u32, Reverse<u32>, MemberKey)> = Vec::new();
         for (key, update) in &self.recent {
             let entry = &self.entries[*key];
-            // Leaving members go first: a mass start would delay them behind hundreds of updates.
-            let waits = entry.state != State::Draining;
-            least_sent.push((waits, update.sent, Reverse(entry.changed), *key));
+            least_sent.push((
+                order_of(entry.state),
+                update.sent,
+                Reverse(entry.changed),
+                *key,
+            ));
         }
         if least_sent.len() > self.options.max_recent {
             least_sent.select_nth_unstable(self.options.max_recent);
--- a/hitch-roster/src/roster.rs
+++ b/hitch-roster/src/roster.rs
@@ -79,7 +79,7 @@
             urgent_interval: Duration::from_millis(200),
             max_recent: 32,
             recent_for: Duration::from_secs(15),
-            max_missing: 128,
+            max_missing: 256,
             max_missing_new: 2048,
             settle_for: Duration::from_secs(2),
             frozen_after: Duration::from_secs(3),
--- a/hitch-spread/examples/convergence/fleet.rs
+++ b/hitch-spread/examples/convergence/fleet.rs
@@ -473,17 +473,22 @@
         self.nodes.iter().all(holds)
     }
 
-    /// Returns the mean number of members that a roster lacks or knows in an earlier state.
-    pub fn wrong_entries(&self) -> f64 {
+    /// Returns the mean number of members that a roster lacks or knows in another state than they
+    /// are, and of those that it knows in the right state of an earlier entry.
+    pub fn wrong_entries(&self) -> (f64, f64) {
         let own = self.nodes.iter().map(|node| node.roster.own());
         let own: BTreeMap<Box<str>, Member> =
             own.map(|m| (m.contact.instance.clone(), m)).collect();
-        let right = |m: &Member| own.get(&m.contact.instance) == Some(m);
-        let mut wrong = 0;
+        let (mut other, mut earlier) = (0, 0);
         for node in &self.nodes {
-            let members = node.roster.members();
-            wrong += self.nodes.len() - members.filter(|(_, m)| right(m)).count();
+            other += self.nodes.len();
+            for (_, member) in node.roster.members() {
+                let now = &own[&member.contact.instance];
+                other -= usize::from(now.state == member.state);
+                earlier += usize::from(now.state == member.state && *now != member);
+            }
         }
-        wrong as f64 / self.nodes.len() as f64
+        let mean = |sum: usize| sum as f64 / self.nodes.len() as f64;
+        (mean(other), mean(earlier))
     }
 }
--- a/hitch-spread/examples/convergence/main.rs
+++ b/hitch-spread/examples/convergence/main.rs
@@ -171,8 +171,10 @@
     for after in [2, 5, 10, 20, 30] {
         let time = (killed_at + Duration::from_secs(after)).saturating_sub(fleet.now);
         let (bytes, _) = rates(fleet, time.max(TICK));
-        let (wrong, bytes) = (fleet.wrong_entries(), bytes / fleet.args.nodes as f64);
-        println!("{after} s: {wrong:.2} wrong entries per roster, {bytes:.0} B/s sent per node");
+        let (other, earlier) = fleet.wrong_entries();
+        let bytes = bytes / fleet.args.nodes as f64;
+        println!("{after} s: per roster {other:.2} members lacking or in another state,");
+        println!("  {earlier:.2} in an earlier entry; {bytes:.0} B/s sent per node");
     }
     let from = killed_at.as_secs() - 5;
     let reads = (from..from + 35).map(|s| fleet.reads.get(&s).copied().unwrap_or(0));
@@ -197,9 +199,8 @@
     timed("missing, all buckets differ", || {
         roster.missing(&Digest([1; 64]))
     });
-    timed("readers of a zone", || {
-        roster.readers("nl-west-0a", READERS)
-    });
+    let zone = own.contact.zone.clone();
+    timed("readers of a zone", || roster.readers(&zone, READERS));
     timed("merge, all known", || {
         roster.merge(now, members.iter().cloned())
     });
