Refuse requests that crash backend servers

Cause: a request that crashes each backend server that runs it walked through the service while its caller sent it again. Change: the node watches which requests run when its backend server goes down (a broken connection and a refused one after it), spreads the evidence to the nodes of the service, hands suspects over one at a time and refuses a request with two crashes. Conclusion: the evidence needs to reach the nodes of one service only.

--- a/hitch-node/src/blackboard.rs
+++ b/hitch-node/src/blackboard.rs
@@ -13,6 +13,7 @@
 use hitch_edge::Backend;
 use hitch_retry::Bucket;
 use hitch_retry::Budget;
+use hitch_retry::Suspicion;
 use hitch_roster::Roster;
 use hitch_route::Pool;
 use hitch_route::Switch;
@@ -82,6 +83,8 @@
     pub bucket: Mutex<Bucket>,
     /// Share of this node in the limits of the own service.
     pub share: Mutex<Share>,
+    /// Requests that crashed backend servers.
+    pub suspicion: Mutex<Suspicion>,
     /// The node itself.
     pub own: Mutex<Own>,
     /// Wakes the ownership controller, which pulls at once.
@@ -129,6 +132,7 @@
                 run,
                 Default::default(),
             )),
+            suspicion: Mutex::new(Suspicion::new(Default::default())),
             own: Mutex::default(),
             ownership_wake: Notify::new(),
             ownership_pulls: watch::Sender::new(0),
--- a/hitch-node/src/execute.rs
+++ b/hitch-node/src/execute.rs
@@ -28,6 +28,7 @@
 use crate::once;
 use crate::recorder::Subject;
 use crate::reply;
+use crate::suspects;
 
 /// Header by which a backend server says that it refused a call before it ran any of it.
 const SHED: &str = "x-hitch-shed";
@@ -79,9 +80,6 @@
     if !req.idempotent && is_refused_as_stale(node, contract) {
         return Err(NotRun::Stale);
     }
-    if node.is_crash_suspect(req) {
-        return Err(NotRun::CrashSuspect);
-    }
     Ok(())
 }
 
@@ -115,6 +113,10 @@
         Ok(permit) => permit,
         Err(reason) => return Attempt::not_run(refused_as(reason)),
     };
+    let watched = match suspects::begin(node, req, deadline).await {
+        Ok(watched) => watched,
+        Err(reason) => return Attempt::not_run(reason),
+    };
     let subject = Subject {
         version: req.version,
         call_id: &req.call_id,
@@ -134,6 +136,9 @@
     // A cancellation can come before the first byte, while the call waits for a connection.
     let handed_over =
         handed_over.load(Ordering::Relaxed) && !result.as_ref().is_err_and(Error::is_not_run);
+    watched
+        .end(result.is_ok(), result.as_ref().is_err_and(Error::is_crash))
+        .await;
     end(permit, began, &result);
     to_attempt(result, handed_over)
 }
--- a/hitch-node/src/lib.rs
+++ b/hitch-node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod reply;
 pub mod run;
 pub mod shards;
+mod suspects;
 pub mod time;
 pub mod wire;
 
--- a/hitch-node/src/listener/peer.rs
+++ b/hitch-node/src/listener/peer.rs
@@ -35,6 +35,7 @@
 use crate::execute;
 use crate::node::Node;
 use crate::peers::MAX_MESSAGE_BYTES;
+use crate::suspects;
 
 /// Longest time that this node waits for a node that it probes for another one.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -133,6 +134,7 @@
     ) -> Result<Response<SuspectReply>, Status> {
         let req = req.into_inner();
         self.node.recorder.observe(req.stamp);
+        suspects::receive(&self.node, req);
         Ok(Response::new(SuspectReply {
             stamp: self.node.recorder.stamp(),
         }))
--- a/hitch-node/src/node.rs
+++ b/hitch-node/src/node.rs
@@ -7,7 +7,6 @@
 
 use hitch_log::Client;
 use hitch_once::Key;
-use hitch_proto::peer::CallRequest;
 use hitch_retry::NotRun;
 use hitch_roster::State;
 use hitch_route::Table;
@@ -306,17 +305,6 @@
         }
     }
 
-    /// Returns whether the call crashed too many backend servers before.
-    ///
-    /// ```no_run
-    /// # fn run(node: hitch_node::Node) {
-    /// assert!(!node.is_crash_suspect(&Default::default()));
-    /// # }
-    /// ```
-    pub fn is_crash_suspect(&self, _req: &CallRequest) -> bool {
-        false
-    }
-
     /// Returns the instance that is said to own a key, if one is.
     ///
     /// ```no_run
--- a/hitch-node/tests/it/routing.rs
+++ b/hitch-node/tests/it/routing.rs
@@ -66,3 +66,39 @@
     }
     assert!(failed <= 3, "{failed} of 300 calls failed");
 }
+
+/// Guards against a request that takes down one backend server after the other while its caller sends
+/// it again, and against innocent calls that are refused with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_backends_takes_down_at_most_two() {
+    let fleet = Fleet::serving(4).await;
+    let mut refused = 0;
+    for i in 0..12 {
+        let member = &fleet.members[i % 4];
+        let res = member
+            .get("/fees/poison", &[("x-hitch-poison", "1")])
+            .await
+            .unwrap();
+        assert_ne!(res.status(), 200);
+        refused += u32::from(&*problem(&res).reason == "crash-suspect");
+        let innocent = fleet.members[(i + 1) % 4]
+            .get("/fees/7", &[])
+            .await
+            .unwrap();
+        assert_ne!(
+            &*innocent.body().slice(..1),
+            b"",
+            "an innocent call got no answer"
+        );
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+    }
+    let crashed = fleet
+        .members
+        .iter()
+        .filter(|m| m.backend.counters().crashes > 0)
+        .count();
+    assert!(crashed <= 2, "{crashed} backend servers went down");
+    assert!(refused > 0, "the request was never refused");
+    let res = fleet.members[0].get("/fees/7", &[]).await.unwrap();
+    assert_eq!(res.status(), 200, "{res:?}");
+}
