Hold a version only for services that are newly without a backend server

Change: a service that was inactive in the table before does not hold the next one. A call refused as not run returns the retry budget that it carried. Before: the new unit test of the switch fails on the old code by construction. After: it passes, and the configuration tests of the node pass.

--- a/hitch-node/src/execute.rs
+++ b/hitch-node/src/execute.rs
@@ -43,11 +43,16 @@
 /// # }
 /// ```
 pub async fn run(node: &Arc<Node>, req: CallRequest, deadline: Instant) -> CallReply {
-    let reply = match check(node, &req).await {
+    let budget = req.retry_budget_milli;
+    let mut reply = match check(node, &req).await {
         Err(reason) => reply::refusal(Outcome::NotRun(reason)),
         Ok(()) if req.idempotent => attempt(node, &req, deadline).await.reply,
         Ok(()) => once::run(node, req, deadline).await,
     };
+    if reply.outcome() == peer::Outcome::NotRun {
+        // What the call carried was not spent.
+        reply.retry_budget_milli = budget;
+    }
     seal(node, reply)
 }
 
--- a/hitch-node/tests/it/configuration.rs
+++ b/hitch-node/tests/it/configuration.rs
@@ -81,3 +81,44 @@
     .into();
     assert_eq!(hashes[0], hashes[1]);
 }
+
+/// Guards against a fleet that lost all memory and cannot recover from a log whose start was trimmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_without_memory_recovers_from_the_snapshot_in_the_log() {
+    let mut fleet = Fleet::serving(2).await;
+    let version = fleet.publish(1, &moved());
+    fleet.wait_in_force(version).await;
+    let before = fleet.members[0].status().await["state_hash"].clone();
+    let mut state = hitch_config::State::default();
+    for record in fleet
+        .log
+        .read("config", 0, 10, Duration::ZERO)
+        .await
+        .unwrap()
+        .records
+    {
+        state.apply(record.offset, &record.data).unwrap();
+    }
+    fleet
+        .log
+        .append_now("snapshots", state.snapshot().into())
+        .unwrap();
+    let control = hitch_standin_log::Control {
+        trim_before: Some(version),
+        stream: Some("config".into()),
+        ..Default::default()
+    };
+    fleet.log.control(&control);
+    for member in &mut fleet.members {
+        member.kill();
+    }
+    for member in &mut fleet.members {
+        member.restart();
+    }
+    fleet.wait_in_force(version).await;
+    let next = fleet.publish(version, CONTRACT);
+    fleet.wait_in_force(next).await;
+    let after = fleet.members[1].status().await["state_hash"].clone();
+    assert_ne!(before, after);
+    assert_eq!(fleet.members[0].status().await["state_hash"], after);
+}
--- a/hitch-route/src/switch.rs
+++ b/hitch-route/src/switch.rs
@@ -1,5 +1,6 @@
 //! The switch from one table to the next.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::table::Table;
@@ -9,13 +10,16 @@
 
 /// Decides when a new table comes into force.
 ///
-/// A table whose services all have a backend server comes into force at once. Otherwise the one in
+/// A table whose services all have a backend server comes into force at once; a service that had none
+/// in the table before does not count, so that it does not hold every later version. Otherwise the one in
 /// force stays whole until the backend servers are known or [`HOLD`] has passed; then the new table
 /// comes into force whole, with the routes to missing services inactive.
 #[derive(Debug, Default)]
 pub struct Switch {
     held: Option<Held>,
     in_force: u64,
+    /// Services of the table in force that had no backend server when it came into force.
+    missing: BTreeSet<Box<str>>,
 }
 
 #[derive(Debug)]
@@ -66,12 +70,15 @@
     /// ```
     pub fn poll(&mut self, now: Duration, has_backend: impl Fn(&str) -> bool) -> Option<Table> {
         let held = self.held.take()?;
-        let complete = held.table.services().all(&has_backend);
+        let known = |service: &str| has_backend(service) || self.missing.contains(service);
+        let complete = held.table.services().all(known);
         if !complete && now < held.since + HOLD {
             self.held = Some(held);
             return None;
         }
         self.in_force = held.table.version();
-        Some(held.table.with_services(has_backend))
+        let table = held.table.with_services(has_backend);
+        self.missing = table.inactive().map(Box::from).collect();
+        Some(table)
     }
 }
--- a/hitch-route/tests/it/main.rs
+++ b/hitch-route/tests/it/main.rs
@@ -8,6 +8,14 @@
 
 /// Makes a state with one customer, whose routes are given as (method, path, service).
 pub fn state(routes: &[(&str, &str, &str)]) -> State {
+    let mut state = State::default();
+    amend(&mut state, routes);
+    state
+}
+
+/// Amends the contract of the customer to other routes.
+pub fn amend(state: &mut State, routes: &[(&str, &str, &str)]) {
+    let (offset, based_on) = (state.next_offset(), state.version());
     let mut services: Vec<&str> = routes.iter().map(|r| r.2).collect();
     services.sort();
     services.dedup();
@@ -25,14 +33,16 @@
         ));
     }
     let change = Change {
-        change_id: Default::default(),
+        change_id: uuid::Uuid::from_u128(offset.into()),
         customer: "a".into(),
-        based_on: 0,
+        based_on,
         operator: "test".into(),
         contract: text.into(),
     };
-    let mut state = State::default();
-    state.apply(0, &change.to_bytes()).unwrap();
-    assert_eq!(state.version(), 1, "the contract of the test is valid");
-    state
+    state.apply(offset, &change.to_bytes()).unwrap();
+    assert_eq!(
+        state.version(),
+        offset + 1,
+        "the contract of the test is valid"
+    );
 }
--- a/hitch-route/tests/it/switch.rs
+++ b/hitch-route/tests/it/switch.rs
@@ -6,6 +6,7 @@
 use hitch_route::Table;
 use hitch_route::switch::HOLD;
 
+use crate::amend;
 use crate::state;
 
 /// Guards against a version that comes into force before its backend servers are known, and against
@@ -33,3 +34,16 @@
     switch.offer(Duration::ZERO, table);
     assert!(switch.poll(Duration::ZERO, |_| true).is_none());
 }
+
+/// Guards against a service without backend servers that delays every later version.
+#[test]
+fn service_that_was_missing_before_does_not_hold_the_next_table() {
+    let mut state = state(&[("GET", "/x", "s"), ("GET", "/y", "t")]);
+    let mut switch = Switch::default();
+    let only_s = |s: &str| s == "s";
+    switch.offer(Duration::ZERO, Table::compile(&state));
+    assert!(switch.poll(HOLD, only_s).is_some());
+    amend(&mut state, &[("GET", "/z", "s"), ("GET", "/y", "t")]);
+    switch.offer(HOLD, Table::compile(&state));
+    assert_eq!(switch.poll(HOLD, only_s).unwrap().version(), 2);
+}
