Print log reads as soon as everything is in force

Cause: a run of 5,600 nodes is too slow to reach the end of the mass restart report. Change: the example prints log reads by second when all nodes are in force, and again at the end. Before: log reads at 5,600 nodes were not read.

--- a/hitch-spread/examples/convergence/main.rs
+++ b/hitch-spread/examples/convergence/main.rs
@@ -168,6 +168,7 @@
         "in force everywhere {time:.1} s after the kill, {}",
         fleet.in_force()
     );
+    print_reads(fleet, killed_at);
     for after in [2, 5, 10, 20, 30] {
         let time = (killed_at + Duration::from_secs(after)).saturating_sub(fleet.now);
         let (bytes, _) = rates(fleet, time.max(TICK));
@@ -176,8 +177,12 @@
         println!("{after} s: per roster {other:.2} members lacking or in another state,");
         println!("  {earlier:.2} in an earlier entry; {bytes:.0} B/s sent per node");
     }
+    print_reads(fleet, killed_at);
+}
+
+fn print_reads(fleet: &Fleet, killed_at: Duration) {
     let from = killed_at.as_secs() - 5;
-    let reads = (from..from + 35).map(|s| fleet.reads.get(&s).copied().unwrap_or(0));
+    let reads = (from..fleet.now.as_secs()).map(|s| fleet.reads.get(&s).copied().unwrap_or(0));
     let reads: Vec<u64> = reads.collect();
     println!("log reads by second, kill after the fifth: {reads:?}");
 }
