Learn of a key's owner from the node that names it, and strengthen three process tests

Cause: a call whose key belonged to a member that the first node did not know as ready yet was refused as not-owner after four attempts within 20 ms. Change: try_find finds a starting backend server (now asserted); an unknown owner is learned by an exchange with the node that named it. Readers settle before they pick themselves; announcements go to followers in the zone.

--- a/hitch-node/src/controller/exchange.rs
+++ b/hitch-node/src/controller/exchange.rs
@@ -419,7 +419,7 @@
     let mut members = Vec::new();
     {
         let roster = lock(&node.board.roster);
-        for key in roster.random_peers(peers, &mut rand::rng()) {
+        for key in roster.announce_peers(peers, &mut rand::rng()) {
             members.extend(roster.get(key));
         }
     }
--- a/hitch-node/src/controller/reader.rs
+++ b/hitch-node/src/controller/reader.rs
@@ -78,9 +78,7 @@
 /// # }
 /// ```
 pub fn is_reader(node: &Node) -> bool {
-    let roster = lock(&node.board.roster);
-    let readers = roster.readers(&node.settings.zone, READERS_PER_ZONE);
-    readers.contains(&roster.own_key())
+    lock(&node.board.roster).is_reader(node.time.now(), READERS_PER_ZONE)
 }
 
 /// Reads once, and returns whether the end of the log was reached.
--- a/hitch-node/src/forward.rs
+++ b/hitch-node/src/forward.rs
@@ -20,6 +20,7 @@
 use hitch_route::pool::Pick;
 use tokio::time::Instant;
 
+use crate::controller::exchange;
 use crate::execute;
 use crate::node::Node;
 use crate::peers::Class;
@@ -112,6 +113,7 @@
         purse,
         owner,
         tried,
+        last_address: None,
         unreachable: 0,
     };
     forward.run().await
@@ -127,6 +129,8 @@
     owner: Option<Box<str>>,
     /// Backend servers tried already.
     tried: Vec<BackendKey>,
+    /// Address of the node that was tried last.
+    last_address: Option<Box<str>>,
     /// How many could not be connected to.
     unreachable: usize,
 }
@@ -139,7 +143,7 @@
             self.req.attempt = attempt;
             let reply = self.attempt().await;
             let mut outcome = self.judge(&reply);
-            if outcome == Outcome::NotRun(NotRun::NotOwner) && !self.redirect(&reply) {
+            if outcome == Outcome::NotRun(NotRun::NotOwner) && !self.redirect(&reply).await {
                 // Another attempt at once would be told the same.
                 outcome = Outcome::NotRun(NotRun::NoOwner);
             }
@@ -220,6 +224,7 @@
         self.req.deadline_ms = left.as_millis() as u32;
         self.req.retry_budget_milli = self.purse.hand_down(self.node);
         self.tried.push(pick.key);
+        self.last_address = Some(pick.address.clone());
         let mut in_flight = InFlight::start(self.node, &self.req.service, pick.key);
         let reply = send(
             self.node,
@@ -247,20 +252,34 @@
     }
 
     /// Turns to the owner that a node named, and returns whether it can be reached.
-    fn redirect(&mut self, reply: &CallReply) -> bool {
+    ///
+    /// An owner that is not known here yet is learned from the node that named it.
+    async fn redirect(&mut self, reply: &CallReply) -> bool {
         if reply.owner_instance.is_empty() {
             return false;
         }
         let owner: Box<str> = reply.owner_instance.as_str().into();
         self.node
             .note_owner(&self.req.service, &self.req.key, owner.clone());
+        self.owner = Some(owner);
+        if self.knows_owner() {
+            return true;
+        }
+        if let Some(address) = self.last_address.take() {
+            let exchange = exchange::with_address(self.node, &address);
+            let _ = tokio::time::timeout_at(self.deadline, exchange).await;
+        }
+        self.knows_owner()
+    }
+
+    fn knows_owner(&self) -> bool {
+        let Some(owner) = &self.owner else {
+            return false;
+        };
         let shard = self.node.board.pools.lock(&self.req.service);
-        let known = shard
+        shard
             .get(&*self.req.service)
-            .and_then(|pool| pool.try_find(&owner))
-            .is_some();
-        self.owner = Some(owner);
-        known
+            .is_some_and(|pool| pool.try_find(owner).is_some())
     }
 }
 
--- a/hitch-node/tests/it/leaving.rs
+++ b/hitch-node/tests/it/leaving.rs
@@ -5,37 +5,44 @@
 use crate::fleet::Fleet;
 use crate::fleet::LONG;
 
+/// A call that outlasts the 3 s after which a leaving backend server gets no new work.
+const SLOW: [(&str, &str); 2] = [("x-hitch-work-ms", "6000"), ("x-hitch-deadline-ms", "9500")];
+
+/// The member that leaves, and another one in its availability zone, which sends calls there.
+const LEAVING: usize = 0;
+const NEIGHBOUR: usize = 3;
+
 /// Guards against a planned stop that cuts calls in flight, and against a leaving backend server that
 /// gets new work after 3 s.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_cuts_no_call_and_ends_new_work() {
-    let mut fleet = Fleet::serving(3).await;
+    let mut fleet = Fleet::serving(4).await;
     let mut slow = Vec::new();
     for _ in 0..12 {
-        slow.push(fleet.members[0].get("/fees/slow", &[("x-hitch-work-ms", "3500")]));
+        slow.push(fleet.members[NEIGHBOUR].get("/fees/slow", &SLOW));
     }
     let slow = futures::future::join_all(slow);
     let stop = async {
         tokio::time::sleep(Duration::from_millis(500)).await;
-        let running = fleet.members[1].backend.running();
+        let running = fleet.members[LEAVING].backend.running();
         assert!(
             running > 0,
             "a call must be in flight on the node that leaves"
         );
-        fleet.members[1].signal("-TERM");
+        fleet.members[LEAVING].signal("-TERM");
         let mut cut = 0;
         let began = tokio::time::Instant::now();
         while began.elapsed() < Duration::from_secs(3) {
-            let res = fleet.members[0].get("/fees/7", &[]).await.unwrap();
+            let res = fleet.members[NEIGHBOUR].get("/fees/7", &[]).await.unwrap();
             cut += u32::from(res.status() != 200);
         }
         assert_eq!(cut, 0, "calls were cut while a node left");
-        let before = fleet.members[1].backend.ledger().started;
+        let before = fleet.members[LEAVING].backend.ledger().started;
         for _ in 0..100 {
-            let res = fleet.members[2].get("/fees/7", &[]).await.unwrap();
+            let res = fleet.members[NEIGHBOUR].get("/fees/7", &[]).await.unwrap();
             assert_eq!(res.status(), 200);
         }
-        assert_eq!(fleet.members[1].backend.ledger().started, before);
+        assert_eq!(fleet.members[LEAVING].backend.ledger().started, before);
     };
     let (slow, ()) = futures::join!(slow, stop);
     for res in slow {
@@ -43,7 +50,7 @@
     }
     let until = tokio::time::Instant::now() + LONG;
     let status = loop {
-        if let Some(status) = fleet.members[1].try_exit() {
+        if let Some(status) = fleet.members[LEAVING].try_exit() {
             break status;
         }
         assert!(tokio::time::Instant::now() < until, "the node did not end");
--- a/hitch-node/tests/it/routing.rs
+++ b/hitch-node/tests/it/routing.rs
@@ -8,10 +8,11 @@
 /// Guards against a killed node that fails later idempotent calls through the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn kill_of_any_node_fails_no_later_idempotent_call() {
-    let mut fleet = Fleet::serving(4).await;
-    fleet.members[2].kill();
+    let mut fleet = Fleet::serving(5).await;
+    // The first and the fourth member share an availability zone, so that the fourth sends calls there.
+    fleet.members[0].kill();
     for i in 0..60 {
-        let member = &fleet.members[[0, 1, 3][i % 3]];
+        let member = &fleet.members[[3, 1, 3, 2, 3, 4][i % 6]];
         let res = member.get("/fees/7", &[]).await.unwrap();
         assert_eq!(res.status(), 200, "call {i}: {res:?}");
     }
--- a/hitch-route/src/pool.rs
+++ b/hitch-route/src/pool.rs
@@ -233,10 +233,8 @@
     /// ```
     pub fn try_find(&self, instance: &str) -> Option<Pick> {
         let key = *self.by_instance.get(instance)?;
-        self.entries[key]
-            .backend
-            .accepts()
-            .then(|| self.to_pick(key))
+        let leaves = self.entries[key].backend.standing == Standing::Leaving;
+        (!leaves).then(|| self.to_pick(key))
     }
 
     /// Notes that a call was handed over.
--- a/hitch-route/tests/it/pool.rs
+++ b/hitch-route/tests/it/pool.rs
@@ -116,4 +116,6 @@
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     assert!(!pool.is_empty());
     assert!(pool.pick(MS, &mut rng, &[]).is_none());
+    // A caller that was told of it by name can still turn to it.
+    assert!(pool.try_find("i-0").is_some());
 }
