Give each test process a block of ports of its own

Change: a test process takes a block of ports and keeps the first one bound as a mark. Before: 1 of 12 process tests failed with 'Address already in use'. Conclusion: ports must be reserved between processes and not only within one.

--- a/hitch-node/tests/it/fleet.rs
+++ b/hitch-node/tests/it/fleet.rs
@@ -5,6 +5,7 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -67,13 +68,32 @@
     Logger::root(slog::Discard, o!())
 }
 
-/// Finds an address below the ephemeral ports, which outgoing connections would take meanwhile.
+/// Ports of one test process. Blocks lie below the ephemeral ports, which outgoing connections take.
+const BLOCK_PORTS: u32 = 200;
+const FIRST_BLOCK: u32 = 24_000;
+const BLOCKS: u32 = 40;
+
+/// Takes a block of ports for this process. Its first port stays bound, so that other test processes on
+/// the machine pass the block over.
+fn block() -> u32 {
+    static BLOCK: OnceLock<(std::net::TcpListener, u32)> = OnceLock::new();
+    let take = || {
+        for i in 0..BLOCKS {
+            let first = FIRST_BLOCK + (std::process::id() + i) % BLOCKS * BLOCK_PORTS;
+            let guard = std::net::TcpListener::bind(("127.0.0.1", first as u16));
+            let Ok(guard) = guard else { continue };
+            return (guard, first);
+        }
+        panic!("no block of ports is free");
+    };
+    BLOCK.get_or_init(take).1
+}
+
 async fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let next = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 12_000 + (std::process::id() * 97 + next) % 18_000;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let next = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (BLOCK_PORTS - 1);
+        let address = SocketAddr::from(([127, 0, 0, 1], (block() + next) as u16));
         if TcpListener::bind(address).await.is_ok() {
             return address;
         }
