Strike every step of a base scenario with every fault

Cause: scenarios written by hand cover few of the moments at which a fault can strike.

A run with broken nodes must fail the matrix. A drain in the runner now brings the changed roster to the routes at once, as the node does: the check on routes had failed between the two when the last backend server left.

--- /dev/null
+++ b/hitch-scenario/examples/matrix.rs
@@ -0,0 +1,9 @@
+//! Prints the page of the fault matrix.
+
+use hitch_scenario::matrix;
+
+fn main() {
+    let cells = matrix::prove_all(&matrix::cells());
+    let pairs = matrix::prove_all(&matrix::pairs());
+    print!("{}", matrix::page(&cells, &pairs));
+}
--- a/hitch-scenario/src/act.rs
+++ b/hitch-scenario/src/act.rs
@@ -118,6 +118,7 @@
         self.nodes[n]
             .roster
             .set_state(now, hitch_roster::State::Draining);
+        self.note_roster(n);
     }
 
     fn trim(&mut self) {
--- a/hitch-scenario/src/calls.rs
+++ b/hitch-scenario/src/calls.rs
@@ -186,7 +186,9 @@
         if submission.outcome.is_some() {
             return;
         }
-        submission.outcome = Some(match (outcome, submission.unknown) {
+        let unknown = submission.unknown;
+        let unknown = unknown.filter(|_| self.broken != Some(Broken::ForgetUnknown));
+        submission.outcome = Some(match (outcome, unknown) {
             (Outcome::NotRun(_), Some(unknown)) => unknown,
             _ => outcome,
         });
--- a/hitch-scenario/src/lib.rs
+++ b/hitch-scenario/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod contract;
 mod execute;
 pub mod log;
+pub mod matrix;
 pub mod net;
 pub mod node;
 pub mod operator;
--- a/hitch-scenario/src/peer.rs
+++ b/hitch-scenario/src/peer.rs
@@ -100,7 +100,7 @@
     }
 
     /// Brings what the roster learned to the pools.
-    fn note_roster(&mut self, n: usize) {
+    pub(crate) fn note_roster(&mut self, n: usize) {
         let changes = self.nodes[n].roster.take_changes();
         self.nodes[n].note_changes(changes);
         let now = self.local(n);
--- a/hitch-scenario/src/world.rs
+++ b/hitch-scenario/src/world.rs
@@ -49,6 +49,8 @@
     RouteToDraining,
     /// Stops by plan without waiting for its calls.
     StopAtOnce,
+    /// Reports the refusal of the last attempt of a call that an earlier attempt may have run.
+    ForgetUnknown,
     /// Passes on an answer that carries another call's id.
     AcceptCrossed,
 }
--- a/hitch-scenario/tests/it/broken.rs
+++ b/hitch-scenario/tests/it/broken.rs
@@ -137,3 +137,19 @@
         "  - { at: 7s, do: cross-next }\n  - { at: 7s, do: { call: { id: a, via: 1 } } }\n",
     );
 }
+
+/// Without this, the check on refusals could pass over a retry that is refused after an attempt that ran.
+#[test]
+fn refusal_that_forgets_an_earlier_attempt_is_caught() {
+    catch(
+        Broken::ForgetUnknown,
+        Check::FalseNotRun,
+        "
+  - { at: 6s, do: { kill: { node: 3 } } }
+  - { at: 6s, do: { kill: { node: 5 } } }
+  - { at: 20s, before: answer, do: { drain: { node: 1 } } }
+  - { at: 20s, do: cross-next }
+  - { at: 20s, do: { call: { id: a, via: 0, idempotent: true } } }
+",
+    );
+}
--- a/hitch-scenario/tests/it/main.rs
+++ b/hitch-scenario/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod broken;
 mod fakes;
+mod matrix;
 mod scenarios;
 
 use hitch_scenario::Scenario;
