Keep an attempt that may have run when a retry is refused

Cause: the invariant on refusals, checked in scenarios with a node that forgets earlier attempts, showed that `forward` does the same: it returned the reply to the last attempt, so an idempotent call whose first attempt ran and whose retry was refused was reported as not run.

Change: `forward` keeps the reply to the last attempt that may have run and returns it in place of a refusal as not run.

--- a/hitch-node/src/forward.rs
+++ b/hitch-node/src/forward.rs
@@ -113,6 +113,7 @@
         owner,
         tried,
         unreachable: 0,
+        may_have_run: None,
     };
     forward.run().await
 }
@@ -129,6 +130,8 @@
     tried: Vec<BackendKey>,
     /// How many could not be connected to.
     unreachable: usize,
+    /// Reply to the last attempt that may have run.
+    may_have_run: Option<CallReply>,
 }
 
 impl Forward<'_> {
@@ -146,6 +149,9 @@
             if self.is_unreachable(outcome) {
                 continue;
             }
+            if let Outcome::Unknown(_) = outcome {
+                self.may_have_run = Some(reply.clone());
+            }
             let situation = Situation {
                 attempt,
                 outcome: Some(outcome),
@@ -189,7 +195,15 @@
     }
 
     /// Adds to the reply what the node above needs of this one.
-    fn seal(&self, mut reply: CallReply) -> CallReply {
+    ///
+    /// A refusal as not run would be false after an attempt that may have run; the reply to that attempt
+    /// takes its place.
+    fn seal(&mut self, mut reply: CallReply) -> CallReply {
+        if let Outcome::NotRun(_) = reply::outcome(&reply)
+            && let Some(earlier) = self.may_have_run.take()
+        {
+            reply = earlier;
+        }
         if let Purse::Carried(budget) = &self.purse {
             reply.retry_budget_milli = budget.milli();
         }
--- a/hitch-node/tests/it/routing.rs
+++ b/hitch-node/tests/it/routing.rs
@@ -1,5 +1,7 @@
 //! Calls over a fleet whose members fail.
 
+use std::time::Duration;
+
 use hitch_edge::problem::Outcome;
 
 use crate::fleet::Fleet;
@@ -66,3 +68,24 @@
     }
     assert!(failed <= 3, "{failed} of 300 calls failed");
 }
+
+/// Guards against a retry that is refused as not run after an earlier attempt of the call ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_retry_does_not_hide_an_attempt_that_ran() {
+    let fleet = Fleet::serving(1).await;
+    let member = &fleet.members[0];
+    let control = hitch_standin_backend::Control {
+        short_bodies: Some(1),
+        ..Default::default()
+    };
+    member.backend.control(&control);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        member.signal("-TERM");
+    };
+    let slow = [("x-hitch-work-ms", "800")];
+    let (res, ()) = futures::join!(member.get("/fees/7", &slow), stop);
+    let res = res.unwrap();
+    assert_eq!(member.backend.ledger().started, 1);
+    assert_eq!(problem(&res).outcome, Outcome::Unknown, "{res:?}");
+}
