--- a/hitch-scenario/tests/it/main.rs
+++ b/hitch-scenario/tests/it/main.rs
@@ -18,6 +18,8 @@
     for seed in SEEDS {
         let report = report(text, seed, Options::default());
         assert_eq!(report.violations, [], "seed {seed}");
+        let armed = text.matches("before:").count();
+        assert_eq!(report.struck, armed, "seed {seed}: a fault did not strike");
         assert!(
             report.failures.is_empty(),
             "seed {seed}: {:?}",
