Measure at-most-once execution with real processes under faults

Cause: the target of 10,000 keyed calls under kills, freezes, lost answers and resends had no run with real processes.

A short form of once is a test of the crate.

--- /dev/null
+++ b/hitch-bench/tests/it/main.rs
@@ -0,0 +1,2 @@
+//! Integration tests.
+mod once;
