--- a/hitch-bench/src/http.rs
+++ b/hitch-bench/src/http.rs
@@ -44,6 +44,18 @@
             .is_ok()
     }
 
+    /// Posts a JSON value and returns the answer.
+    pub(crate) async fn post(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        value: &Value,
+    ) -> Result<Value, Error> {
+        let body = Bytes::from(value.to_string());
+        let body = self.send(Method::POST, peer, path, body).await?;
+        decode(peer, path, &body)
+    }
+
     /// Sets faults of a stand-in.
     pub(crate) async fn control(&self, peer: SocketAddr, faults: &Value) -> Result<(), Error> {
         let body = Bytes::from(faults.to_string());
--- a/hitch-bench/src/lib.rs
+++ b/hitch-bench/src/lib.rs
@@ -5,15 +5,19 @@
 #![forbid(unsafe_code)]
 
 pub mod added;
+mod changes;
+pub mod convergence;
 mod deployment;
 pub mod drain;
 mod error;
 pub mod flood;
+pub mod herd;
 mod http;
 mod load;
 pub mod misled;
 pub mod once;
 mod process;
+pub mod usage;
 
 pub use deployment::Deployment;
 pub use deployment::Service;
--- a/hitch-bench/src/load.rs
+++ b/hitch-bench/src/load.rs
@@ -45,14 +45,19 @@
 pub(crate) async fn wait_until_served(running: &Running, streams: &str) -> Result<(), Error> {
     let rest = format!("duration_ms: 500\nstreams:\n{streams}");
     let plan = plan(&running.callers(), &rest)?;
+    let mut reasons = String::new();
     for _ in 0..MAX_PROBES {
         let report = run(&plan).await?;
         if report.rows.iter().all(|row| row.answered == row.offered) {
             return Ok(());
         }
+        reasons.clear();
+        for row in &report.rows {
+            reasons.push_str(&format!(", {} {:?}", row.stream, row.reasons));
+        }
     }
     Err(Error::Timeout {
-        what: "answers to all calls".into(),
+        what: format!("answers to all calls{reasons}").into(),
         seconds: MAX_PROBES / 2,
     })
 }
