Do not try the ports of the process tests before the nodes open them

Cause: a process forked for another test at the moment of a trial kept the trial socket open until it executed its program, so the node found its port in use. Change: ports come from the block of the process without a trial. Ruled out: ephemeral ports (they begin at 32768), other test processes (the block is marked). Conclusion: nothing but the nodes may open these ports.

--- a/hitch-node/tests/it/fleet.rs
+++ b/hitch-node/tests/it/fleet.rs
@@ -69,9 +69,9 @@
 }
 
 /// Ports of one test process. Blocks lie below the ephemeral ports, which outgoing connections take.
-const BLOCK_PORTS: u32 = 200;
-const FIRST_BLOCK: u32 = 24_000;
-const BLOCKS: u32 = 40;
+const BLOCK_PORTS: u32 = 300;
+const FIRST_BLOCK: u32 = 27_000;
+const BLOCKS: u32 = 19;
 
 /// Takes a block of ports for this process. Its first port stays bound, so that other test processes on
 /// the machine pass the block over.
@@ -89,15 +89,15 @@
     BLOCK.get_or_init(take).1
 }
 
-async fn free_address() -> SocketAddr {
+/// Returns an address that nothing uses.
+///
+/// The port is not tried first: a process that is forked for another test at that moment would keep
+/// the trial socket open until it executes its program.
+fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let next = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (BLOCK_PORTS - 1);
-        let address = SocketAddr::from(([127, 0, 0, 1], (block() + next) as u16));
-        if TcpListener::bind(address).await.is_ok() {
-            return address;
-        }
-    }
+    let next = 1 + NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(next < BLOCK_PORTS, "the block has no port left");
+    SocketAddr::from(([127, 0, 0, 1], (block() + next) as u16))
 }
 
 impl Fleet {
@@ -145,11 +145,7 @@
             backend.clone(),
             discard(),
         ));
-        let (caller, peer, admin) = (
-            free_address().await,
-            free_address().await,
-            free_address().await,
-        );
+        let (caller, peer, admin) = (free_address(), free_address(), free_address());
         self.seeds.push(peer);
         let seeds: Vec<String> = self
             .seeds
