Show a version that goes back when nodes restart among lagging peers

Change: a scenario in which both holders of the newest version end, the log goes down, and the nodes start again beside two that were cut before that version. The cause is in `hitch-spread/src/start.rs`: a starting node becomes ready by peers whose last confirmation of the end of the log is arbitrarily old. A bound on that age would keep nodes from starting during a log outage, which the design asks for, so it is left as it is.

--- a/hitch-scenario/tests/it/scenarios.rs
+++ b/hitch-scenario/tests/it/scenarios.rs
@@ -209,3 +209,30 @@
 ",
     ));
 }
+
+/// Guards against an instance that starts again during an outage among peers that lag, and serves by an
+/// older version than it served by before.
+///
+/// Nodes 0 and 1 hold the second version and end. Nodes 2 and 3, which were cut before it, are all that they
+/// hear when they start again.
+#[test]
+fn instance_that_returns_among_lagging_peers_does_not_go_back() {
+    prove(
+        "
+nodes: { count: 4, zones: 1 }
+steps:
+  - { at: 0s, do: publish }
+  - { at: 6s, expect: { accepted: 1 } }
+  - { at: 6s, do: { cut: { node: 2 } } }
+  - { at: 6s, do: { cut: { node: 3 } } }
+  - { at: 7s, do: publish }
+  - { at: 9s, expect: { accepted: 2 } }
+  - { at: 10s, do: { kill: { node: 0 } } }
+  - { at: 10s, do: { kill: { node: 1 } } }
+  - { at: 12s, do: recover }
+  - { at: 12s, do: log-down }
+  - { at: 30s, do: log-up }
+  - { at: 30s, expect: { converged: { within: 10s } } }
+",
+    );
+}
