--- a/hitch-bench/src/flood.rs
+++ b/hitch-bench/src/flood.rs
@@ -68,7 +68,8 @@
     pub flood: Box<str>,
     /// Goodput in the flood, in calls per second.
     pub goodput: f64,
-    /// Goodput that the target refers to, in calls per second.
+    /// Goodput that the target refers to, in calls per second: the unflooded one, at the rate that
+    /// was really offered in the flood, or the guaranteed share if that is less.
     pub entitled: f64,
     /// Ratio of the p99 in the flood to the unflooded one.
     pub p99_ratio: f64,
@@ -176,9 +177,12 @@
             };
             // Under a flood of the most urgent rank the others are entitled to their share only.
             let share = capacity * rank.share;
-            let entitled = match flooder {
-                0 => calm.goodput.min(share),
-                _ => calm.goodput,
+            // Arrivals are random, so the phases offer different numbers of calls.
+            let offered = row.offered as f64 / calm.offered.max(1) as f64;
+            let entitled = match (flooder, number == flooder) {
+                (_, true) => calm.goodput,
+                (0, false) => (calm.goodput * offered).min(share),
+                (_, false) => calm.goodput * offered,
             };
             out.push(Kept {
                 rank: rank.name.into(),
--- a/hitch-bench/src/main.rs
+++ b/hitch-bench/src/main.rs
@@ -16,6 +16,8 @@
 use hitch_bench::misled;
 use hitch_bench::once;
 use serde::Serialize;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 
 /// Starts deployments as processes on loopback, measures them and stops them. Run it at the root of
 /// the repository after `cargo build --release --workspace --bins`.
@@ -68,6 +70,9 @@
     /// length of the ownership intervals of keys, default 4s
     #[argh(option, default = "\"4s\".into()")]
     key_interval: String,
+    /// instance whose node is stopped first, counted from 0, default 0
+    #[argh(option, default = "0")]
+    first: usize,
     /// nodes to stop at most, default 100
     #[argh(option, default = "100")]
     stops: usize,
@@ -120,6 +125,17 @@
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let args: Args = argh::from_env();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    // Leaving the experiment ends the processes that it started.
+    tokio::select! {
+        result = run(args) => result,
+        _ = terminate.recv() => Err("stopped by SIGTERM".into()),
+        _ = interrupt.recv() => Err("stopped by SIGINT".into()),
+    }
+}
+
+async fn run(args: Args) -> Result<(), Box<dyn Error>> {
     let association = Deployment::at("bench/association.yaml".as_ref())?;
     match &args.command {
         Command::Once(own) => {
@@ -137,6 +153,7 @@
                 port_base: args.port_base,
                 seed: args.seed,
                 key_interval: own.key_interval.as_str().into(),
+                first: own.first,
                 stops: own.stops,
             };
             let outcome = drain::run(&association, &options).await?;
