Hand over the keys of a node that leaves

Cause: the ownership controller slept for up to 3 s while the process left within about 2 s, so its release was rarely appended; and a node that was the only reader of its zone is no reader while it drains, so it found nobody to pull from and never reached the release. Change: draining wakes the controller; a zone without a reader pulls from another zone's; a node that would name a leaving owner pulls first. Conclusion: the planned stop hands keys over; a crash still waits for the interval's end.

--- a/hitch-node/src/controller/ownership.rs
+++ b/hitch-node/src/controller/ownership.rs
@@ -4,6 +4,7 @@
 //! other nodes pull those of their own service from them, so reads of the log do not grow with the fleet.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -392,16 +393,26 @@
             .flatten()
     }
 
+    /// Picks a reader of the own availability zone, or of any other one when it has none.
     fn random_reader(&self) -> Option<Box<str>> {
         let roster = lock(&self.node.board.roster);
-        let readers = roster.readers(&self.node.settings.zone, READERS_PER_ZONE);
+        let own_zone = &self.node.settings.zone;
+        let mut readers = roster.readers(own_zone, READERS_PER_ZONE);
+        if readers.is_empty() {
+            let mut zones = BTreeSet::new();
+            for (_, member) in roster.members() {
+                zones.insert(member.contact.zone.clone());
+            }
+            for zone in zones {
+                readers.extend(roster.readers(&zone, READERS_PER_ZONE));
+            }
+        }
         if readers.is_empty() {
             return None;
         }
         let at = rand::rng().random_range(0..readers.len());
-        roster
-            .get(readers[at])
-            .map(|member| member.contact.address.clone())
+        let reader = roster.get(readers[at])?;
+        Some(reader.contact.address.clone())
     }
 
     fn apply(&self, offset: u64, data: &[u8]) {
--- a/hitch-node/src/node.rs
+++ b/hitch-node/src/node.rs
@@ -162,6 +162,8 @@
         lock(&self.board.own).draining = true;
         lock(&self.board.roster).set_state(self.time.now(), State::Draining);
         self.board.membership_wake.notify_one();
+        // The keys that this node has not accepted are released before it stops.
+        self.board.ownership_wake.notify_one();
         if let Some(gate) = self.board.gate.load_full() {
             gate.drain();
         }
--- a/hitch-node/src/once.rs
+++ b/hitch-node/src/once.rs
@@ -76,7 +76,7 @@
     };
     let mut entered = enter(node, key, &req);
     if let Entered::Done(reply) = &entered
-        && reply::outcome(reply) == Outcome::NotRun(NotRun::NoOwner)
+        && may_be_behind(node, reply)
     {
         pull(node).await;
         entered = enter(node, key, &req);
@@ -98,6 +98,20 @@
     }
 }
 
+/// Returns whether a refusal may come from a map that lacks the latest record: nobody owns the key, or its
+/// owner is leaving or gone and may have released it.
+fn may_be_behind(node: &Node, reply: &CallReply) -> bool {
+    match reply::outcome(reply) {
+        Outcome::NotRun(NotRun::NoOwner) => true,
+        Outcome::NotRun(NotRun::NotOwner) => {
+            let shard = node.board.pools.lock(&node.settings.backend.service);
+            let pool = shard.get(&node.settings.backend.service);
+            pool.is_some_and(|pool| pool.try_find(&reply.owner_instance).is_none())
+        }
+        _ => false,
+    }
+}
+
 /// Waits for a pull of ownership: the record that gives the key an owner may have come since the last.
 async fn pull(node: &Node) {
     let mut pulls = node.board.ownership_pulls.subscribe();
--- a/hitch-node/tests/it/leaving.rs
+++ b/hitch-node/tests/it/leaving.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::fleet::CONTRACT;
 use crate::fleet::Fleet;
 use crate::fleet::LONG;
 
@@ -58,3 +59,24 @@
     };
     assert!(status.success());
 }
+
+/// Guards against keys that stay with a node which has left, and are refused until their interval ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_node_hands_over_the_keys_it_has_not_accepted() {
+    let contract = CONTRACT.replace("key_interval: 4s", "key_interval: 60s");
+    let fleet = Fleet::start(3).await;
+    fleet.publish(0, &contract);
+    fleet.wait_in_force(1).await;
+    fleet.wait_ready(3).await;
+    fleet.wait_keys().await;
+    fleet.members[LEAVING].signal("-TERM");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for i in 0..60 {
+        let key = uuid::Uuid::now_v7().to_string();
+        let res = fleet.members[1 + i % 2]
+            .post("/fees", &key, &[])
+            .await
+            .unwrap();
+        assert_eq!(res.status(), 200, "call {i}: {res:?}");
+    }
+}
