--- a/hitch-node/src/node.rs
+++ b/hitch-node/src/node.rs
@@ -296,7 +296,7 @@
     ///
     /// ```no_run
     /// # fn run(node: hitch_node::Node) {
-    /// assert!(node.admit("association", "fee"));
+    /// let admitted = node.admit("association", "fee");
     /// # }
     /// ```
     pub fn admit(&self, customer: &str, rank: &str) -> bool {
