Look members and backend servers up in one place, and drop two unused fields

Cause: the read-through found the lookup of a member by its instance in three places and the question whether a backend server is known in two; CallRequest.crashes and CallReply.crashed were never read; a call that waited for ownership asked for a third pull after it had stopped waiting. Change: Node::try_member and Node::knows_backend serve them all; the fields are gone, the generated code is made anew; the wait asks for two pulls.

--- a/hitch-node/src/controller/exchange.rs
+++ b/hitch-node/src/controller/exchange.rs
@@ -269,12 +269,7 @@
     node.metrics
         .control("exchange", "received", req.encoded_len());
     let Some(digest) = req.config else { return };
-    let member = {
-        let roster = lock(&node.board.roster);
-        roster
-            .try_find(&req.from_instance)
-            .and_then(|key| roster.get(key))
-    };
+    let member = node.try_member(&req.from_instance);
     heard(node, member.as_ref(), digest, None);
 }
 
--- a/hitch-node/src/controller/share.rs
+++ b/hitch-node/src/controller/share.rs
@@ -94,14 +94,7 @@
 }
 
 async fn send(node: &Arc<Node>, instance: &str, demands: &[Demand]) -> Option<()> {
-    let address = {
-        let roster = lock(&node.board.roster);
-        roster
-            .get(roster.try_find(instance)?)?
-            .contact
-            .address
-            .clone()
-    };
+    let address = node.try_member(instance)?.contact.address.clone();
     let mut client = node.peers.client(&address, Class::Control).await.ok()?;
     let req = ShareRequest {
         stamp: node.recorder.stamp(),
--- a/hitch-node/src/execute.rs
+++ b/hitch-node/src/execute.rs
@@ -190,8 +190,7 @@
             Unknown::ConnectionLost
         }
     };
-    let mut reply = reply::refusal(Outcome::Unknown(reason));
-    reply.crashed = err.is_crash();
+    let reply = reply::refusal(Outcome::Unknown(reason));
     Attempt { reply, handed_over }
 }
 
--- a/hitch-node/src/forward.rs
+++ b/hitch-node/src/forward.rs
@@ -287,13 +287,8 @@
     }
 
     fn knows_owner(&self) -> bool {
-        let Some(owner) = &self.owner else {
-            return false;
-        };
-        let shard = self.node.board.pools.lock(&self.req.service);
-        shard
-            .get(&*self.req.service)
-            .is_some_and(|pool| pool.try_find(owner).is_some())
+        let owner = self.owner.as_ref();
+        owner.is_some_and(|owner| self.node.knows_backend(&self.req.service, owner))
     }
 }
 
--- a/hitch-node/src/node.rs
+++ b/hitch-node/src/node.rs
@@ -8,6 +8,7 @@
 use hitch_log::Client;
 use hitch_once::Key;
 use hitch_retry::NotRun;
+use hitch_roster::Member;
 use hitch_roster::State;
 use hitch_route::Table;
 use hitch_settings::node::Settings;
@@ -254,14 +255,39 @@
         if version <= self.known_version() {
             return;
         }
-        let roster = lock(&self.board.roster);
-        let member = roster.try_find(instance).and_then(|key| roster.get(key));
-        drop(roster);
-        let Some(member) = member else { return };
+        let Some(member) = self.try_member(instance) else {
+            return;
+        };
         let node = self.clone();
         tokio::spawn(async move { exchange::with_address(&node, &member.contact.address).await });
     }
 
+    /// Finds what the roster knows of an instance.
+    ///
+    /// ```no_run
+    /// # fn run(node: hitch_node::Node) {
+    /// assert!(node.try_member("i-2").is_none());
+    /// # }
+    /// ```
+    pub fn try_member(&self, instance: &str) -> Option<Member> {
+        let roster = lock(&self.board.roster);
+        roster.get(roster.try_find(instance)?)
+    }
+
+    /// Returns whether a backend server of the service is known on an instance and is not leaving.
+    ///
+    /// ```no_run
+    /// # fn run(node: hitch_node::Node) {
+    /// assert!(!node.knows_backend("ledger", "i-2"));
+    /// # }
+    /// ```
+    pub fn knows_backend(&self, service: &str, instance: &str) -> bool {
+        let shard = self.board.pools.lock(service);
+        shard
+            .get(service)
+            .is_some_and(|pool| pool.try_find(instance).is_some())
+    }
+
     /// Returns the queue and the connections of the own backend server, once it is configured.
     ///
     /// ```no_run
--- a/hitch-node/src/once.rs
+++ b/hitch-node/src/once.rs
@@ -104,9 +104,7 @@
     match reply::outcome(reply) {
         Outcome::NotRun(NotRun::NoOwner) => true,
         Outcome::NotRun(NotRun::NotOwner) => {
-            let shard = node.board.pools.lock(&node.settings.backend.service);
-            let pool = shard.get(&node.settings.backend.service);
-            pool.is_some_and(|pool| pool.try_find(&reply.owner_instance).is_none())
+            !node.knows_backend(&node.settings.backend.service, &reply.owner_instance)
         }
         _ => false,
     }
@@ -115,11 +113,10 @@
 /// Waits for a pull of ownership: the record that gives the key an owner may have come since the last.
 async fn pull(node: &Node) {
     let mut pulls = node.board.ownership_pulls.subscribe();
-    node.board.ownership_wake.notify_one();
     // Two, because the first one may have begun before this call.
     for _ in 0..2 {
-        let _ = tokio::time::timeout(PULL_WAIT, pulls.changed()).await;
         node.board.ownership_wake.notify_one();
+        let _ = tokio::time::timeout(PULL_WAIT, pulls.changed()).await;
     }
 }
 
