Rank calls by the priority of their route, and keep queues short

The rank now follows the route's priority, with the target latencies of the routes that lead to the service.

--- a/hitch-mesh/src/arrival.rs
+++ b/hitch-mesh/src/arrival.rs
@@ -1,6 +1,5 @@
 //! Requests that enter the mesh at this node: the route, the choice of a backend server, and what the caller is told.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -57,13 +56,11 @@
 ///
 /// ```no_run
 /// # async fn run(mesh: std::sync::Arc<hitch_mesh::Mesh>, req: http::Request<hyper::body::Incoming>) {
-/// let from = std::net::IpAddr::from([10, 0, 0, 9]);
-/// let res = hitch_mesh::arrival::handle(&mesh, from, req).await;
+/// let res = hitch_mesh::arrival::handle(&mesh, req).await;
 /// # }
 /// ```
 pub async fn handle(
     mesh: &Arc<Mesh>,
-    from: IpAddr,
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let _counted = Counted::new(&mesh.entered);
@@ -73,7 +70,7 @@
     let admitted = if mesh.closing.load(Ordering::Relaxed) {
         Err(refuse(mesh, "the node is stopping", Duration::ZERO))
     } else {
-        admit(mesh, from, req, arrived).await
+        admit(mesh, req, arrived).await
     };
     let mut res = match admitted {
         Ok(admitted) => run(mesh, admitted, arrived).await,
@@ -101,7 +98,6 @@
 
 async fn admit(
     mesh: &Arc<Mesh>,
-    from: IpAddr,
     req: Request<Incoming>,
     arrived: Duration,
 ) -> Result<Admitted, Response<Full<Bytes>>> {
@@ -191,8 +187,6 @@
         service: service.to_string(),
         priority: route.priority.into(),
         idempotent: route.idempotent,
-        // Callers are on other machines.
-        from_backend: from == mesh.settings.requests.ip(),
         body,
         version: table.config().version,
         ..Call::default()
@@ -439,7 +433,7 @@
         slog::info!(mesh.reporter.log(), "arrival: {}", outcome;
             "request" => %admitted.call.request_id, "route" => %admitted.route.name,
             "service" => %admitted.service, "priority" => admitted.call.priority,
-            "nested" => admitted.call.from_backend, "version" => admitted.table.config().version,
+            "version" => admitted.table.config().version,
             "reason" => reason, "left_out" => left_out);
     }
 }
--- a/hitch-mesh/src/config.rs
+++ b/hitch-mesh/src/config.rs
@@ -8,6 +8,7 @@
 use hitch_gate::shards::lock;
 use hitch_route::hosts::Table;
 
+use crate::execute;
 use crate::frame::Kind;
 use crate::frame::PullConfig;
 use crate::link::Link;
@@ -18,7 +19,7 @@
 const STORE_HEAD_START: Duration = Duration::from_millis(300);
 
 /// Brings a configuration into force if it is newer than the one in force.
-pub(crate) fn apply(mesh: &Mesh, data: Bytes, source: &'static str) {
+pub(crate) fn apply(mesh: &Arc<Mesh>, data: Bytes, source: &'static str) {
     let config = match (mesh.decode)(&data) {
         Ok(config) => config,
         Err(reason) => {
@@ -37,6 +38,8 @@
     mesh.table.store(Some(Arc::new(Table::new(config))));
     *raw = Some(data);
     mesh.newest_seen.fetch_max(version, Ordering::Relaxed);
+    drop(raw);
+    execute::reconfigure(mesh);
     mesh.metrics.version.set(version as i64);
     slog::info!(mesh.reporter.log(), "config: in force"; "version" => version, "routes" => routes,
         "source" => source);
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -18,6 +18,7 @@
 use hitch_retry::suspicion::Fingerprint;
 use hitch_retry::suspicion::Site;
 use hitch_retry::suspicion::Verdict;
+use hitch_route::hosts::Part;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
@@ -52,11 +53,16 @@
 const LEAST_TIME: Duration = Duration::from_millis(5);
 /// Pause before a call under suspicion looks again whether another one still runs.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
-/// Name of the rank of calls that backend servers make while they run another call. It comes before all others: what
-/// waits for such a call holds a slot elsewhere.
-const NESTED_RANK: &str = "nested";
-/// Ranks of callers' requests, by their priority; a greater number counts as the last.
+/// Names of the ranks, by the priority of the route; a greater priority counts as the last.
 const RANKS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
+/// Part of the slots that each rank is sure of, in percent: no rank starves, and the most urgent ones get the rest.
+const SHARE_PERCENT: u8 = 10;
+/// Target latency of a rank that no route has.
+const UNSTATED_TARGET: Duration = Duration::from_millis(300);
+/// Calls that wait for each slot, of one rank and in all. A longer queue holds calls that will not be answered within
+/// their target; refused at once, they can still be served elsewhere or come back.
+const QUEUED_PER_SLOT: u32 = 1;
+const QUEUED_IN_ALL_PER_SLOT: u32 = 2;
 /// When a caller whose call was not run may come back: about the service time of a call.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Connections beyond the slots: one may be closing while its slot is already free.
@@ -69,17 +75,21 @@
         slots: report.slots,
         connections: report.slots,
     };
+    let ranks = ranks(mesh);
     if let Some(server) = mesh.server.load_full()
         && server.id == report.id
     {
-        server.gate.reconfigure(&service, &ranks());
+        server.gate.reconfigure(&service, &ranks);
         return;
     }
     let options = QueueOptions {
+        // A backend server that starts cold is slow, not small: it runs as many calls at once.
         ramp: Duration::ZERO,
+        queued_per_slot: QUEUED_PER_SLOT,
+        queued_in_all_per_slot: QUEUED_IN_ALL_PER_SLOT,
         ..QueueOptions::default()
     };
-    let gate = Gate::new(mesh.time, &service, &ranks(), options);
+    let gate = Gate::new(mesh.time, &service, &ranks, options);
     let options = backend::Options {
         connections: report.slots as usize + SPARE_CONNECTIONS,
         connect_timeout: CONNECT_TIMEOUT,
@@ -97,22 +107,44 @@
     })));
 }
 
-fn ranks() -> Vec<Rank> {
-    let rank = |name: &str, target_ms, worth, share_percent| Rank {
-        name: name.into(),
-        target_latency: Duration::from_millis(target_ms),
-        worth,
-        share_percent,
-        admit_per_second: 0,
-    };
-    let mut ranks = vec![rank(NESTED_RANK, 100, 1_000, 30)];
-    for (i, name) in RANKS.iter().enumerate() {
-        let worth = 100 / (i as u32 + 1);
-        ranks.push(rank(name, 300, worth, if i < 4 { 10 } else { 2 }));
+/// Makes the ranks of the calls for the backend server beside the node, from the routes that lead to it.
+fn ranks(mesh: &Mesh) -> Vec<Rank> {
+    let mut targets = [None; RANKS.len()];
+    let table = mesh.table.load();
+    for route in table.iter().flat_map(|table| &table.config().routes) {
+        let leads_here = |part: &Part| part.service == mesh.settings.service && part.weight > 0;
+        if route.split.iter().any(leads_here) {
+            let target: &mut Option<Duration> = &mut targets[rank_of(route.priority.into())];
+            *target = (*target).max(Some(route.target_latency));
+        }
+    }
+    let mut ranks = Vec::new();
+    for (i, (name, target)) in RANKS.iter().zip(targets).enumerate() {
+        ranks.push(Rank {
+            name: (*name).into(),
+            target_latency: target.unwrap_or(UNSTATED_TARGET),
+            worth: 100 >> i,
+            share_percent: if target.is_some() { SHARE_PERCENT } else { 0 },
+            admit_per_second: 0,
+        });
     }
     ranks
 }
 
+fn rank_of(priority: u32) -> usize {
+    (priority as usize).min(RANKS.len() - 1)
+}
+
+/// Takes over the ranks of a configuration that has come into force.
+pub(crate) fn reconfigure(mesh: &Arc<Mesh>) {
+    let latest = lock(&mesh.beside).latest().cloned();
+    if let Some(latest) = latest
+        && mesh.server.load().is_some()
+    {
+        open(mesh, &latest);
+    }
+}
+
 /// Runs a call on the backend server beside the node and returns how it ended.
 ///
 /// `left` resolves when the caller has left: a call that waits is dropped then, and one that may run more than once is
@@ -170,10 +202,7 @@
     };
     let deadline = arrived + Duration::from_millis(call.left_ms.into());
     tokio::pin!(left);
-    let rank = match call.from_backend {
-        true => NESTED_RANK,
-        false => RANKS[(call.priority as usize).min(RANKS.len() - 1)],
-    };
+    let rank = RANKS[rank_of(call.priority)];
     let permit = tokio::select! {
         permit = server.gate.enter(rank, deadline) => permit,
         () = &mut left => return Outcome::not_run("the caller left", RETRY_AFTER),
--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -97,14 +97,11 @@
     /// Whether the call may run more than once.
     #[prost(bool, tag = "12")]
     pub idempotent: bool,
-    /// Whether a backend server makes the call while it runs another.
-    #[prost(bool, tag = "13")]
-    pub from_backend: bool,
     /// Body of the request.
-    #[prost(bytes = "bytes", tag = "14")]
+    #[prost(bytes = "bytes", tag = "13")]
     pub body: Bytes,
     /// Version of the configuration that the call was routed by.
-    #[prost(uint64, tag = "15")]
+    #[prost(uint64, tag = "14")]
     pub version: u64,
 }
 
--- a/hitch-mesh/src/run.rs
+++ b/hitch-mesh/src/run.rs
@@ -105,8 +105,8 @@
 async fn accept(mesh: Arc<Mesh>, listener: TcpListener, close: watch::Receiver<bool>) {
     loop {
         match listener.accept().await {
-            Ok((stream, from)) => {
-                tokio::spawn(connection(mesh.clone(), stream, from, close.clone()));
+            Ok((stream, _)) => {
+                tokio::spawn(connection(mesh.clone(), stream, close.clone()));
             }
             Err(err) => {
                 slog::warn!(mesh.reporter.log(), "arrival: cannot accept a connection"; "error" => %err);
@@ -124,7 +124,6 @@
 async fn connection(
     mesh: Arc<Mesh>,
     stream: TcpStream,
-    from: SocketAddr,
     mut close: watch::Receiver<bool>,
 ) {
     if let Err(err) = stream.set_nodelay(true) {
@@ -138,7 +137,7 @@
         .map_or(IDLE_TIMEOUT, |table| table.config().limits.idle_timeout);
     let service = service_fn(|req| {
         let mesh = &mesh;
-        async move { Ok::<_, Infallible>(arrival::handle(mesh, from.ip(), req).await) }
+        async move { Ok::<_, Infallible>(arrival::handle(mesh, req).await) }
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/hitch-mesh/src/sync.rs
+++ b/hitch-mesh/src/sync.rs
@@ -60,7 +60,7 @@
     }
 }
 
-fn take_config(mesh: &Mesh, page: Page) {
+fn take_config(mesh: &Arc<Mesh>, page: Page) {
     let newest = page
         .records
         .into_iter()
