Refer to headers that a connection has carried before

A header that is met a second time gets a number. The answer no longer carries the request's identity, which the node where it entered knows.

--- a/hitch-mesh/src/arrival.rs
+++ b/hitch-mesh/src/arrival.rs
@@ -59,10 +59,7 @@
 /// let res = hitch_mesh::arrival::handle(&mesh, req).await;
 /// # }
 /// ```
-pub async fn handle(
-    mesh: &Arc<Mesh>,
-    req: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+pub async fn handle(mesh: &Arc<Mesh>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let _counted = Counted::new(&mesh.entered);
     let arrived = mesh.now();
     let id = req.headers().get(&mesh.settings.names.request_id).cloned();
@@ -170,6 +167,7 @@
         .map(|(name, value)| Header {
             name: name.as_str().into(),
             value: value.as_bytes().into(),
+            number: 0,
         })
         .collect();
     let method = match parts.method {
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -381,10 +381,13 @@
     if headers.contains_key(http::header::CONTENT_ENCODING) {
         return Outcome::unknown("the answer of the backend server is encoded");
     }
+    // The node where the call entered names the request itself.
     let headers = hitch_edge::header::end_to_end(headers)
+        .filter(|(name, _)| *name != names.request_id)
         .map(|(name, value)| Header {
             name: name.as_str().into(),
             value: value.as_bytes().into(),
+            number: 0,
         })
         .collect();
     Outcome::Answered(Answer {
--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -105,15 +105,18 @@
     pub version: u64,
 }
 
-/// A header.
-#[derive(Clone, PartialEq, Message)]
+/// A header, or a reference to one that was sent on the connection before.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Message)]
 pub struct Header {
-    /// Name in lower case.
+    /// Name in lower case; empty in a reference.
     #[prost(string, tag = "1")]
     pub name: String,
     /// Value.
     #[prost(bytes = "vec", tag = "2")]
     pub value: Vec<u8>,
+    /// Number under which the receiver remembers the header, or finds it; 0 for neither.
+    #[prost(uint32, tag = "3")]
+    pub number: u32,
 }
 
 /// How a call ended.
--- a/hitch-mesh/src/lib.rs
+++ b/hitch-mesh/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod arrival;
 pub mod backend;
+mod compact;
 mod config;
 mod dial;
 mod execute;
--- a/hitch-mesh/src/link.rs
+++ b/hitch-mesh/src/link.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::compact;
 use crate::frame;
 use crate::frame::Answer;
 use crate::frame::Call;
@@ -226,12 +227,14 @@
     taken: Arc<AtomicU64>,
 ) {
     let mut buf = BytesMut::new();
+    let mut compact = compact::Sender::default();
     while let Some(first) = rx.recv().await {
         let mut next = Some(first);
-        while let Some(kind) = next {
+        while let Some(mut kind) = next {
             if let Kind::Call(call) = &kind {
                 taken.store(call.number, Ordering::Release);
             }
+            compact.pack(&mut kind);
             frame::encode(kind, &mut buf);
             next = match buf.len() < WRITE_BYTES {
                 true => rx.try_recv().ok(),
@@ -255,8 +258,14 @@
     mut on_frame: impl FnMut(Frame) -> bool,
 ) -> Result<(), Box<str>> {
     let mut buf = BytesMut::new();
+    let mut compact = compact::Receiver::default();
     loop {
-        while let Some(frame) = frame::try_decode(&mut buf).map_err(|err| err.to_string())? {
+        while let Some(mut frame) = frame::try_decode(&mut buf).map_err(|err| err.to_string())? {
+            if let Some(kind) = &mut frame.kind
+                && !compact.unpack(kind)
+            {
+                return Err("a header refers to none that was sent".into());
+            }
             if !on_frame(frame) {
                 return Ok(());
             }
--- a/hitch-mesh/src/run.rs
+++ b/hitch-mesh/src/run.rs
@@ -121,11 +121,7 @@
     let _ = close.wait_for(|close| *close).await;
 }
 
-async fn connection(
-    mesh: Arc<Mesh>,
-    stream: TcpStream,
-    mut close: watch::Receiver<bool>,
-) {
+async fn connection(mesh: Arc<Mesh>, stream: TcpStream, mut close: watch::Receiver<bool>) {
     if let Err(err) = stream.set_nodelay(true) {
         slog::debug!(mesh.reporter.log(), "arrival: a connection ended early"; "error" => %err);
         return;
