Take a node for silent only when it owes an echo

Two causes: after this node itself had stood still, the watch counted what it had not read yet as silence of the others; and calls were cut from a silent node even where they could go nowhere else. A node is now silent when it owes an echo for 300 ms, a late watch skips its round, and a call leaves a silent node only when the route and the budget allow it elsewhere.

--- a/hitch-edge/src/backend.rs
+++ b/hitch-edge/src/backend.rs
@@ -47,6 +47,9 @@
     pub call_id: HeaderName,
     /// Whether an answer that does not name its call is taken for that of another one.
     pub is_call_id_required: bool,
+    /// Longest time for which an idle connection is used again, whatever the backend server states. Some forget idle
+    /// connections without notice, and a call that is sent on one may or may not have run.
+    pub max_idle: Duration,
 }
 
 impl Options {
@@ -62,6 +65,7 @@
             connect_timeout,
             call_id: HeaderName::from_static(header::CALL_ID),
             is_call_id_required: false,
+            max_idle: Duration::MAX,
         }
     }
 }
@@ -352,7 +356,7 @@
             .idle
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let until = Instant::now() + keep;
+        let until = Instant::now() + keep.min(self.shared.options.max_idle);
         idle.push(Idle { sender, until });
     }
 }
--- a/hitch-edge/tests/it/backend.rs
+++ b/hitch-edge/tests/it/backend.rs
@@ -103,3 +103,19 @@
             .is_not_run()
     );
 }
+
+/// Guards against a call on a connection that the backend server has forgotten: it could not be told whether it ran.
+#[tokio::test]
+async fn idle_connection_is_not_used_after_its_time() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout=10\r\n\r\n";
+    let peer = scripted(vec![Some(answer), Some(answer)]).await;
+    let options = Options {
+        max_idle: Duration::from_millis(50),
+        ..options()
+    };
+    let backend = Backend::at(&peer, options);
+    run(&backend, 2_000).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(80)).await;
+    // The scripted server answers once a connection and then stays silent, so only a new one is answered.
+    run(&backend, 500).await.unwrap();
+}
--- a/hitch-mesh/src/arrival.rs
+++ b/hitch-mesh/src/arrival.rs
@@ -261,7 +261,14 @@
         if admitted.deadline < started + LEAST_TIME {
             return last;
         }
-        let outcome = attempt(mesh, admitted, &pick, arrived).await;
+        let may_repeat = admitted.route.idempotent && arrivals + 1 < admitted.route.max_attempts;
+        let mut paid = false;
+        // A silent node may still answer, so a call only leaves it when it can go elsewhere.
+        let leave = || {
+            paid = may_repeat && try_spend(mesh, &admitted.service);
+            paid
+        };
+        let outcome = attempt(mesh, admitted, &pick, arrived, leave).await;
         finished(mesh, &admitted.service, pick.key, started, &outcome);
         let may_repeat = match &outcome {
             Outcome::Answered(_) => return outcome,
@@ -276,7 +283,7 @@
         arrivals += 1;
         if !may_repeat
             || arrivals >= admitted.route.max_attempts
-            || !try_spend(mesh, &admitted.service)
+            || !(paid || try_spend(mesh, &admitted.service))
         {
             return last;
         }
@@ -302,7 +309,13 @@
     }
 }
 
-async fn attempt(mesh: &Arc<Mesh>, admitted: &Admitted, pick: &Pick, arrived: Duration) -> Outcome {
+async fn attempt(
+    mesh: &Arc<Mesh>,
+    admitted: &Admitted,
+    pick: &Pick,
+    arrived: Duration,
+    mut leave: impl FnMut() -> bool,
+) -> Outcome {
     let now = mesh.now();
     let mut call = admitted.call.clone();
     call.left_ms = admitted.deadline.saturating_sub(now).as_millis() as u32;
@@ -324,7 +337,16 @@
     };
     let pending: Option<Pending> = link.try_call(call, now);
     match pending {
-        Some(mut pending) => pending.ended().await,
+        Some(mut pending) => {
+            tokio::select! {
+                outcome = pending.ended() => return outcome,
+                () = link.silent() => {}
+            }
+            match leave() {
+                true => Outcome::unknown("the node is silent"),
+                false => pending.ended().await,
+            }
+        }
         None => Outcome::not_run("the node is not connected", RETRY_AFTER_NO_BACKEND),
     }
 }
--- a/hitch-mesh/src/dial.rs
+++ b/hitch-mesh/src/dial.rs
@@ -14,7 +14,6 @@
 use crate::frame::Kind;
 use crate::frame::Member;
 use crate::frame::Members;
-use crate::frame::Ping;
 use crate::frame::State;
 use crate::link;
 use crate::link::Link;
@@ -30,8 +29,9 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Silence on a connection with calls after which the node is asked for an echo.
 const QUIET: Duration = Duration::from_millis(250);
-/// Silence on a connection with calls after which the node gets no new calls, and those that may be repeated are.
-const SILENT: Duration = Duration::from_millis(500);
+/// Time that the echo may take before the node gets no new calls, and those that may be repeated are. It takes some
+/// milliseconds between zones, and 100 ms more on a machine that has used up its part of the processor.
+const ECHO_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Connects to the nodes that are known, again and again, for as long as the process runs.
 pub(crate) async fn run(mesh: Arc<Mesh>) {
@@ -173,31 +173,35 @@
 /// Watches connections with calls on them for as long as the process runs: a node that is frozen or cut off is found by
 /// its silence long before the kernel gives the connection up.
 pub(crate) async fn watch(mesh: Arc<Mesh>) {
-    let mut asked = 0;
+    let mut last = mesh.now();
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
         let now = mesh.now();
+        let was_late = now.saturating_sub(last) > WATCH_INTERVAL * 2;
+        last = now;
+        if was_late {
+            // This node itself stood still: what the others sent meanwhile has yet to be read.
+            continue;
+        }
         let links: Vec<(Box<str>, Arc<Link>)> = lock(&mesh.links)
             .iter()
             .map(|(address, link)| (address.clone(), link.clone()))
             .collect();
         for (address, link) in links {
             let quiet = now.saturating_sub(link.heard_at().max(link.busy_since(now)));
-            if quiet >= SILENT {
-                if link.release_repeatable() > 0 {
-                    slog::info!(mesh.reporter.log(), "dial: a node is silent"; "peer" => %address);
-                }
-                if link.suspect(true) {
-                    let mut state = link.state();
-                    state.accepts = false;
-                    mesh.apply_state(&state);
-                }
-            } else if quiet >= QUIET {
-                asked += 1;
-                link.send(Kind::Ping(Ping { number: asked }));
-            } else if link.suspect(false) {
+            let is_silent = link.owed(now) >= ECHO_TIMEOUT;
+            if is_silent && link.suspect(true) {
+                slog::info!(mesh.reporter.log(), "dial: a node is silent"; "peer" => %address,
+                    "quiet_ms" => quiet.as_millis() as u64);
+                let mut state = link.state();
+                state.accepts = false;
+                mesh.apply_state(&state);
+            } else if !is_silent && link.suspect(false) {
                 mesh.apply_state(&link.state());
             }
+            if quiet >= QUIET {
+                link.ask(now);
+            }
         }
     }
 }
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -65,6 +65,9 @@
 const QUEUED_IN_ALL_PER_SLOT: u32 = 2;
 /// When a caller whose call was not run may come back: about the service time of a call.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Longest time for which an idle connection is used again. Under load connections are used again within milliseconds,
+/// so a short time costs few new ones.
+const MAX_IDLE: Duration = Duration::from_secs(1);
 /// Connections beyond the slots: one may be closing while its slot is already free.
 const SPARE_CONNECTIONS: usize = 4;
 
@@ -95,6 +98,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         call_id: mesh.settings.names.request_id.clone(),
         is_call_id_required: true,
+        max_idle: MAX_IDLE,
     };
     let connections = Backend::at(&mesh.settings.backend.to_string(), options);
     let driven = gate.clone();
@@ -479,6 +483,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         call_id: mesh.settings.names.backend_id.clone(),
         is_call_id_required: false,
+        max_idle: MAX_IDLE,
     };
     let connections = Backend::at(&mesh.settings.backend.to_string(), options);
     let Some(id) = lock(&mesh.beside).latest().map(|r| r.id.clone()) else {
--- a/hitch-mesh/src/link.rs
+++ b/hitch-mesh/src/link.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -24,6 +25,7 @@
 use crate::frame::Cancel;
 use crate::frame::Frame;
 use crate::frame::Kind;
+use crate::frame::Ping;
 use crate::frame::State;
 use crate::outcome::Outcome;
 
@@ -50,6 +52,10 @@
     // What the peer said of itself last.
     state: Mutex<State>,
     suspected: AtomicBool,
+    // Wakes the calls on the connection when the peer comes under suspicion.
+    fell_silent: Notify,
+    // When an echo was asked for that has not come, in microseconds since the start of the process; 0 for never.
+    asked_us: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -61,7 +67,6 @@
 #[derive(Debug)]
 struct Waiting {
     tx: oneshot::Sender<Outcome>,
-    is_repeatable: bool,
     since: Duration,
 }
 
@@ -84,6 +89,8 @@
             heard_us: AtomicU64::new(now.as_micros() as u64),
             state: Mutex::new(State::default()),
             suspected: AtomicBool::new(false),
+            fell_silent: Notify::new(),
+            asked_us: AtomicU64::new(0),
         }
     }
 
@@ -97,11 +104,7 @@
         calls.last += 1;
         let number = calls.last;
         call.number = number;
-        let waiting = Waiting {
-            tx,
-            is_repeatable: call.idempotent,
-            since: now,
-        };
+        let waiting = Waiting { tx, since: now };
         calls.waiting.insert(number, waiting);
         // Under the lock, so that calls are sent in the order of their numbers.
         if self.tx.send(Kind::Call(call)).is_err() {
@@ -129,6 +132,7 @@
     pub(crate) fn heard(&self, now: Duration) {
         self.heard_us
             .store(now.as_micros() as u64, Ordering::Relaxed);
+        self.asked_us.store(0, Ordering::Relaxed);
     }
 
     pub(crate) fn heard_at(&self) -> Duration {
@@ -142,28 +146,39 @@
         first.map_or(now, |waiting| waiting.since)
     }
 
-    /// Ends the calls that may run more than once, so that they can be sent elsewhere, and returns their number.
-    pub(crate) fn release_repeatable(&self) -> usize {
-        let mut calls = lock(&self.calls);
-        let repeatable: Vec<u64> = calls
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| waiting.is_repeatable)
-            .map(|(number, _)| *number)
-            .collect();
-        for number in &repeatable {
-            let Some(waiting) = calls.waiting.remove(number) else {
-                continue;
-            };
-            let _ = waiting.tx.send(Outcome::unknown("the node is silent"));
-            self.send(Kind::Cancel(Cancel { number: *number }));
+    /// Notes whether the peer is suspected of being frozen or cut off, and returns whether that is news.
+    pub(crate) fn suspect(&self, suspected: bool) -> bool {
+        let changed = self.suspected.swap(suspected, Ordering::Relaxed) != suspected;
+        if changed && suspected {
+            self.fell_silent.notify_waiters();
         }
-        repeatable.len()
+        changed
     }
 
-    /// Notes whether the peer is suspected of being frozen or cut off, and returns whether that is news.
-    pub(crate) fn suspect(&self, suspected: bool) -> bool {
-        self.suspected.swap(suspected, Ordering::Relaxed) != suspected
+    /// Resolves when the peer is under suspicion of being frozen or cut off.
+    pub(crate) async fn silent(&self) {
+        let silent = self.fell_silent.notified();
+        if self.suspected.load(Ordering::Relaxed) {
+            return;
+        }
+        silent.await;
+    }
+
+    /// Asks the peer for an echo, and notes since when one is due.
+    pub(crate) fn ask(&self, now: Duration) {
+        let now_us = now.as_micros() as u64;
+        // The first question counts; an answer of any kind clears it.
+        let asked = &self.asked_us;
+        let _ = asked.compare_exchange(0, now_us, Ordering::Relaxed, Ordering::Relaxed);
+        self.send(Kind::Ping(Ping { number: now_us }));
+    }
+
+    /// Returns how long the peer has owed an answer to a question for an echo.
+    pub(crate) fn owed(&self, now: Duration) -> Duration {
+        match self.asked_us.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            asked => now.saturating_sub(Duration::from_micros(asked)),
+        }
     }
 
     pub(crate) fn set_state(&self, state: State) {
