Let two nodes a zone read the store and pass configurations down a tree

Two nodes a zone, chosen by rendezvous hashing among those that can read the store, now follow it; the others are told along a tree of four children a node and pull the deflated configuration from the node that told them.

Ruled out: pushing the whole configuration from each reader to its zone.

--- a/hitch-mesh/src/dial.rs
+++ b/hitch-mesh/src/dial.rs
@@ -115,6 +115,7 @@
         true => {
             slog::info!(mesh.reporter.log(), "dial: lost a node"; "peer" => %address);
             lock(&mesh.members).lost(mesh.now(), &address);
+            mesh.readers_changed.notify_one();
             mesh.members_wake.notify_one();
         }
         false => failed(&mesh, &address),
@@ -142,11 +143,11 @@
     let Some(kind) = frame.kind else { return true };
     match kind {
         Kind::Answer(answer) => {
-            config::note_version(mesh, answer.version, link);
+            config::note_version(mesh, answer.version, link, config::HEAD_START);
             link.answered(answer);
         }
         Kind::State(state) => return on_state(mesh, address, link, &state),
-        Kind::Config(raw) => config::apply(mesh, raw.data, "peer"),
+        Kind::Config(raw) => config::apply_packed(mesh, &raw),
         Kind::Members(members) => peer::learn(mesh, members),
         _ => {}
     }
@@ -162,11 +163,16 @@
             "is" => &member.address);
         return false;
     }
-    lock(&mesh.members).connected(address, member.clone());
+    {
+        let mut members = lock(&mesh.members);
+        members.connected(address, member.clone());
+        members.set_lacks_store(address, state.lacks_store);
+    }
+    mesh.readers_changed.notify_one();
     lock(&mesh.links).insert(address.into(), link.clone());
     link.set_state(state.clone());
     mesh.apply_state(state);
-    config::note_version(mesh, state.version, link);
+    config::note_version(mesh, state.version, link, config::HEAD_START);
     true
 }
 
--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What the message says. A message of a kind that this build does not know has none.
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: Option<Kind>,
 }
 
@@ -56,6 +56,9 @@
     /// What is known of requests that crash backend servers.
     #[prost(message, tag = "10")]
     Crashes(Crashes),
+    /// The sender has a newer configuration.
+    #[prost(message, tag = "11")]
+    Notice(Notice),
 }
 
 /// A call for the backend server beside the receiver.
@@ -197,6 +200,9 @@
     /// Version of the configuration at the node.
     #[prost(uint64, tag = "5")]
     pub version: u64,
+    /// Whether the node cannot read the store at present, so that others must not rely on it for news.
+    #[prost(bool, tag = "6")]
+    pub lacks_store: bool,
 }
 
 /// A node.
@@ -242,11 +248,22 @@
     /// Its version.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// Its bytes.
+    /// Its bytes, deflated (RFC 1951).
     #[prost(bytes = "bytes", tag = "2")]
     pub data: Bytes,
 }
 
+/// The sender has a newer configuration, which the receiver may ask of it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Notice {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Where the sender accepts connections.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
 /// Nodes that the sender knows of.
 #[derive(Clone, PartialEq, Message)]
 pub struct Members {
--- a/hitch-mesh/src/members.rs
+++ b/hitch-mesh/src/members.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::frame::Member;
 
 /// Time after which a member that cannot be reached is forgotten. A machine that returns at the same address within it
@@ -26,6 +28,7 @@
 struct Entry {
     member: Member,
     connected: bool,
+    lacks_store: bool,
     dialing: bool,
     failures: u32,
     next_attempt: Duration,
@@ -63,6 +66,7 @@
                 let entry = Entry {
                     member: member.clone(),
                     connected: false,
+                    lacks_store: false,
                     dialing: false,
                     failures: 0,
                     next_attempt: now,
@@ -177,6 +181,65 @@
         self.by_address.values().map(|e| e.member.clone()).collect()
     }
 
+    /// Notes whether a connected member can read the store.
+    ///
+    /// ```
+    /// let mut members = hitch_mesh::members::Members::default();
+    /// members.set_lacks_store("10.0.0.1:7600", true);
+    /// ```
+    pub fn set_lacks_store(&mut self, address: &str, lacks_store: bool) {
+        if let Some(entry) = self.by_address.get_mut(address) {
+            entry.lacks_store = lacks_store;
+        }
+    }
+
+    /// Returns whether the node `own` is one of the `readers` that follow the store for its availability zone.
+    ///
+    /// Rendezvous hashing over the connected members of the zone that can read the store: each node decides by itself,
+    /// and nodes that see different members at most have a reader more. A node without peers reads for itself.
+    ///
+    /// ```
+    /// let members = hitch_mesh::members::Members::default();
+    /// assert!(members.is_reader("10.0.0.1:7600", "a", 2));
+    /// ```
+    pub fn is_reader(&self, own: &str, zone: &str, readers: usize) -> bool {
+        let own_rank = xxh3_64(own.as_bytes());
+        let before = self.by_address.iter().filter(|(address, entry)| {
+            entry.connected
+                && !entry.lacks_store
+                && *entry.member.zone == *zone
+                && xxh3_64(address.as_bytes()) < own_rank
+        });
+        before.count() < readers
+    }
+
+    /// Returns the members that the node `own` tells of a new configuration.
+    ///
+    /// The connected members of the zone form a tree in the order of their hashes, with `fan_out` children each: a
+    /// configuration reaches all in a number of steps that grows with the logarithm of their number, and no node hands
+    /// it to more than `fan_out` others. Nodes that see different members leave gaps, which the versions on answers
+    /// close.
+    ///
+    /// ```
+    /// let members = hitch_mesh::members::Members::default();
+    /// assert!(members.children("10.0.0.1:7600", "a", 4).is_empty());
+    /// ```
+    pub fn children(&self, own: &str, zone: &str, fan_out: usize) -> Vec<Box<str>> {
+        let members = self.by_address.iter();
+        let mut order: Vec<(u64, &str)> = members
+            .filter(|(_, e)| e.connected && *e.member.zone == *zone)
+            .map(|(address, _)| (xxh3_64(address.as_bytes()), &**address))
+            .collect();
+        let own = (xxh3_64(own.as_bytes()), own);
+        order.push(own);
+        order.sort_unstable();
+        let Some(rank) = order.iter().position(|entry| *entry == own) else {
+            return Vec::new();
+        };
+        let children = order.iter().skip(rank * fan_out + 1).take(fan_out);
+        children.map(|(_, address)| (*address).into()).collect()
+    }
+
     /// Returns how many members are connected.
     ///
     /// ```
--- a/hitch-mesh/src/mesh.rs
+++ b/hitch-mesh/src/mesh.rs
@@ -35,6 +35,7 @@
 use crate::backend::Standing;
 use crate::execute;
 use crate::frame::Member;
+use crate::frame::RawConfig;
 use crate::frame::State;
 use crate::link::Link;
 use crate::members::Members;
@@ -74,6 +75,8 @@
     pub(crate) decode: Decode,
     pub(crate) table: ArcSwapOption<Table>,
     pub(crate) raw_config: Mutex<Option<Bytes>>,
+    /// The configuration in force as it is sent to peers.
+    pub(crate) packed_config: Mutex<RawConfig>,
     pub(crate) newest_seen: AtomicU64,
     pub(crate) dividers: Shards<Divider>,
     pub(crate) pools: Shards<Pool>,
@@ -81,6 +84,8 @@
     pub(crate) links: Mutex<BTreeMap<Box<str>, Arc<Link>>>,
     pub(crate) members: Mutex<Members>,
     pub(crate) members_wake: Notify,
+    /// Wakes the controller that decides whether this node reads the store for its zone.
+    pub(crate) readers_changed: Notify,
     pub(crate) is_listed: AtomicBool,
     pub(crate) beside: Mutex<Beside>,
     pub(crate) server: ArcSwapOption<Server>,
@@ -141,6 +146,7 @@
             decode,
             table: ArcSwapOption::empty(),
             raw_config: Mutex::new(None),
+            packed_config: Mutex::new(RawConfig::default()),
             newest_seen: AtomicU64::new(0),
             dividers: Shards::new(SHARDS),
             pools: Shards::new(SHARDS),
@@ -148,6 +154,7 @@
             links: Mutex::new(BTreeMap::new()),
             members: Mutex::new(Members::default()),
             members_wake: Notify::new(),
+            readers_changed: Notify::new(),
             is_listed: AtomicBool::new(false),
             beside: Mutex::new(Beside::default()),
             server: ArcSwapOption::empty(),
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -15,12 +15,12 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::config;
 use crate::execute;
 use crate::frame::Call;
 use crate::frame::Crashes;
 use crate::frame::Kind;
 use crate::frame::Members;
-use crate::frame::RawConfig;
 use crate::link;
 use crate::link::FrameSender;
 use crate::mesh::Mesh;
@@ -107,7 +107,7 @@
             None
         }
         Kind::Ping(ping) => Some(Kind::Pong(ping)),
-        Kind::PullConfig(pull) => config_newer_than(mesh, pull.have),
+        Kind::PullConfig(pull) => config::packed_newer_than(mesh, pull.have).map(Kind::Config),
         Kind::Members(members) => {
             let is_question = members.members.is_empty();
             learn(mesh, members);
@@ -121,6 +121,13 @@
             note_crashes(mesh, crashes);
             None
         }
+        Kind::Notice(notice) => {
+            // Without a connection to the node, its version is learned from the next answer.
+            if let Some(link) = mesh.try_link(&notice.address) {
+                config::note_version(mesh, notice.version, &link, Duration::ZERO);
+            }
+            None
+        }
         Kind::Answer(_) | Kind::State(_) | Kind::Pong(_) | Kind::Config(_) => None,
     };
     if let Some(reply) = reply {
@@ -142,12 +149,6 @@
     });
 }
 
-fn config_newer_than(mesh: &Mesh, have: u64) -> Option<Kind> {
-    let version = mesh.version();
-    let data = lock(&mesh.raw_config).clone()?;
-    (version > have).then_some(Kind::Config(RawConfig { version, data }))
-}
-
 /// Takes in nodes that a peer named.
 pub(crate) fn learn(mesh: &Mesh, members: Members) {
     let own = mesh.own_address();
--- a/hitch-mesh/src/sync.rs
+++ b/hitch-mesh/src/sync.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hitch_gate::shards::lock;
 use prost::Message;
 use rand::RngExt;
 
@@ -22,16 +23,25 @@
 /// Least time between the ends of two reads. Versions that follow each other faster are read together; it stays far
 /// below the time within which a version has to be in force.
 const COALESCE: Duration = Duration::from_millis(500);
+/// Nodes of an availability zone that follow the store for the others. The second one covers the time until the loss of
+/// the first is noticed.
+const READERS_PER_ZONE: usize = 2;
 /// First pause after an operation failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after operations that failed; after an outage, news is read within this time.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Follows the configuration in the store for as long as the process runs.
+/// Follows the configuration in the store for as long as the process runs, as a reader of the zone or as a node that
+/// relies on the readers.
 pub(crate) async fn follow_config(mesh: Arc<Mesh>) {
     let mut from: Option<u64> = None;
     let mut failures = 0;
     loop {
+        // Every node reads once at its start, when it has no peers to rely on.
+        if from.is_some() && await_turn(&mesh).await {
+            // The offset is old by now; the newest record is all that counts.
+            from = None;
+        }
         let (operation, result) = match from {
             None => ("newest", (mesh.store.newest)(Topic::Config).await),
             Some(from) => {
@@ -43,6 +53,7 @@
         match result {
             Ok(page) => {
                 regained(&mesh, &mut failures);
+                set_lacks_store(&mesh, false);
                 let is_news = !page.records.is_empty();
                 from = Some(page.end);
                 take_config(&mesh, page);
@@ -52,6 +63,7 @@
             }
             Err(Error::Dropped { .. }) => from = None,
             Err(err) => {
+                set_lacks_store(&mesh, true);
                 lost(&mesh, &err, &mut failures).await;
                 // The topic may have changed in ways that a read from an old offset does not show.
                 from = None;
@@ -60,6 +72,28 @@
     }
 }
 
+/// Waits until this node is a reader of its zone, and returns whether it was none at first.
+async fn await_turn(mesh: &Mesh) -> bool {
+    let mut waited = false;
+    loop {
+        let changed = mesh.readers_changed.notified();
+        let own = mesh.own_address();
+        if lock(&mesh.members).is_reader(&own, &mesh.settings.zone, READERS_PER_ZONE) {
+            return waited;
+        }
+        waited = true;
+        changed.await;
+    }
+}
+
+fn set_lacks_store(mesh: &Mesh, lacks_store: bool) {
+    mesh.state.send_if_modified(|state| {
+        let changed = state.lacks_store != lacks_store;
+        state.lacks_store = lacks_store;
+        changed
+    });
+}
+
 fn take_config(mesh: &Arc<Mesh>, page: Page) {
     let newest = page
         .records
--- a/hitch-mesh/tests/it/members.rs
+++ b/hitch-mesh/tests/it/members.rs
@@ -56,3 +56,64 @@
     members.lost(SECOND, "a");
     assert_eq!(members.take_due(SECOND).len(), 1);
 }
+
+fn connected(addresses: &[&str]) -> Members {
+    let mut members = Members::default();
+    for address in addresses {
+        let member = Member {
+            zone: "z".into(),
+            ..member(address, 1)
+        };
+        members.learn(Duration::ZERO, member.clone());
+        members.connected(address, member);
+    }
+    members
+}
+
+/// Guards against a zone in which nobody follows the store, or everybody does.
+#[test]
+fn two_nodes_of_a_zone_read_the_store() {
+    let all = ["a", "b", "c", "d", "e", "f"];
+    let readers = all.iter().filter(|own| {
+        let others: Vec<&str> = all.iter().filter(|a| a != own).copied().collect();
+        connected(&others).is_reader(own, "z", 2)
+    });
+    assert_eq!(readers.count(), 2);
+}
+
+/// Guards against nodes that rely on a reader which cannot read, is cut off, or is in another zone.
+#[test]
+fn reader_without_the_store_is_replaced() {
+    let mut members = connected(&["a", "b", "c", "d"]);
+    let own = "e";
+    for address in ["a", "b", "c", "d"] {
+        members.set_lacks_store(address, true);
+    }
+    assert!(members.is_reader(own, "z", 2));
+    let mut members = connected(&["a", "b", "c", "d"]);
+    assert!(members.is_reader(own, "other", 2));
+    for address in ["a", "b", "c", "d"] {
+        members.lost(Duration::ZERO, address);
+    }
+    assert!(members.is_reader(own, "z", 2));
+}
+
+/// Guards against a configuration that does not reach a node of the zone, or that one node hands to all.
+#[test]
+fn tree_of_a_zone_reaches_all_from_two_readers() {
+    let all: Vec<String> = (0..300)
+        .map(|i| format!("10.0.{}.{}:7600", i / 250, i % 250))
+        .collect();
+    let mut told = std::collections::BTreeSet::new();
+    for own in &all {
+        let others: Vec<&str> = all.iter().filter(|a| *a != own).map(|a| &**a).collect();
+        let members = connected(&others);
+        let children = members.children(own, "z", 4);
+        assert!(children.len() <= 4);
+        if members.is_reader(own, "z", 1) {
+            told.insert(own.as_str().into());
+        }
+        told.extend(children);
+    }
+    assert_eq!(told.len(), all.len());
+}
