--- a/hitch-ctl/tests/it/main.rs
+++ b/hitch-ctl/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operator's command, against the log stand-in and fake nodes.
 mod args;
+mod explain;
 mod node;
 mod publish;
 mod replay;
