Count the time that a call was on its way, and test nodes with scripted backend servers

The receiver now subtracts what a call shows beyond the smallest difference of the two clocks on its connection. This also covers calls that lay unread while the node was frozen.

Ruled out: cancellations lost or handled late; the cancellation arrived on the same connection behind the call.

--- a/hitch-mesh/src/arrival.rs
+++ b/hitch-mesh/src/arrival.rs
@@ -329,6 +329,7 @@
 ) -> Outcome {
     let now = mesh.now();
     let mut call = admitted.call.clone();
+    call.sent_ms = now.as_millis() as u64;
     call.left_ms = admitted.deadline.saturating_sub(now).as_millis() as u32;
     let target = arrived + admitted.route.target_latency;
     call.target_left_ms = target.saturating_sub(now).as_millis() as u32;
--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -106,6 +106,9 @@
     /// Version of the configuration that the call was routed by.
     #[prost(uint64, tag = "14")]
     pub version: u64,
+    /// When the call was sent, by the sender's own clock, in milliseconds. Only differences count.
+    #[prost(uint64, tag = "15")]
+    pub sent_ms: u64,
 }
 
 /// A header, or a reference to one that was sent on the connection before.
--- a/hitch-mesh/src/lib.rs
+++ b/hitch-mesh/src/lib.rs
@@ -32,5 +32,6 @@
 mod socket;
 pub mod store;
 mod sync;
+pub mod transit;
 
 pub use mesh::Mesh;
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -25,6 +25,7 @@
 use crate::link::FrameSender;
 use crate::mesh::Mesh;
 use crate::socket;
+use crate::transit::Transit;
 
 /// Pause after a connection could not be accepted, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -56,9 +57,10 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let mut state = mesh.state.subscribe();
     let running = Running::default();
+    let mut transit = Transit::default();
     send_state(&mesh, &mut state, &tx);
     let read = link::read(reader, |frame| {
-        on_frame(&mesh, frame.kind, &tx, &running);
+        on_frame(&mesh, frame.kind, &tx, &running, &mut transit);
         true
     });
     let write = link::write(rx, writer, Arc::new(AtomicU64::new(0)));
@@ -92,12 +94,21 @@
     let _ = tx.send(Kind::State(state));
 }
 
-fn on_frame(mesh: &Arc<Mesh>, kind: Option<Kind>, tx: &FrameSender, running: &Running) {
+fn on_frame(
+    mesh: &Arc<Mesh>,
+    kind: Option<Kind>,
+    tx: &FrameSender,
+    running: &Running,
+    transit: &mut Transit,
+) {
     // A frame of a kind that this build does not know is ignored.
     let Some(kind) = kind else { return };
     let reply = match kind {
         Kind::Call(call) => {
-            start(mesh, call, tx, running);
+            let now = mesh.now();
+            let held_up = transit.held_up(Duration::from_millis(call.sent_ms), now);
+            // Its time ran while it was on its way.
+            start(mesh, call, now.saturating_sub(held_up), tx, running);
             None
         }
         Kind::Cancel(cancel) => {
@@ -136,8 +147,7 @@
     }
 }
 
-fn start(mesh: &Arc<Mesh>, call: Call, tx: &FrameSender, running: &Running) {
-    let arrived = mesh.now();
+fn start(mesh: &Arc<Mesh>, call: Call, arrived: Duration, tx: &FrameSender, running: &Running) {
     let left = Arc::new(Notify::new());
     lock(running).insert(call.number, left.clone());
     let (mesh, tx, running) = (mesh.clone(), tx.clone(), running.clone());
--- /dev/null
+++ b/hitch-mesh/tests/it/carry.rs
@@ -0,0 +1,146 @@
+//! Tests of requests that nodes carry to backend servers.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fleet::Act;
+use crate::fleet::Node;
+use crate::fleet::await_until;
+use crate::fleet::fleet;
+
+fn set(node: &Node, act: Act) {
+    *node.server.act.lock().unwrap() = act;
+}
+
+fn arrivals(nodes: &[Node]) -> usize {
+    nodes
+        .iter()
+        .map(|node| node.server.got.lock().unwrap().len())
+        .sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_goes_to_the_other_node_and_back() {
+    let (_memory, nodes) = fleet(&["a", "a"]).await;
+    // The own backend server leaves, so the call has to cross.
+    nodes[0].report(99, true);
+    let (status, body) = nodes[0].call("PUT", "/pay/7", "r-1").await.unwrap();
+    assert_eq!((status, &body[..]), (200, &b"r-1"[..]));
+    let got = nodes[1].server.got.lock().unwrap().clone();
+    assert_eq!(got.len(), 1);
+    assert!(
+        (400..=600).contains(&got[0].1),
+        "the time left is the route's: {got:?}"
+    );
+}
+
+/// Guards against a payment that runs twice, or is said not to have run, after its answer was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_that_may_have_run_is_not_repeated() {
+    let (_memory, nodes) = fleet(&["a", "a"]).await;
+    for act in [Act::Close, Act::Unsigned] {
+        nodes.iter().for_each(|node| set(node, act));
+        let before = arrivals(&nodes);
+        let (status, _) = nodes[0].call("PUT", "/pay/7", "r-1").await.unwrap();
+        assert_eq!(status, 502, "{act:?}");
+        assert_eq!(arrivals(&nodes) - before, 1, "{act:?}");
+    }
+}
+
+/// Guards against an idempotent request that fails with the first backend server, and against more tries than the route
+/// allows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idempotent_call_is_repeated_within_the_route_and_the_budget() {
+    let (_memory, nodes) = fleet(&["a", "a", "a"]).await;
+    // The budget is earned by requests.
+    for i in 0..40 {
+        nodes[0]
+            .call("GET", "/read/7", &format!("w-{i}"))
+            .await
+            .unwrap();
+    }
+    nodes.iter().for_each(|node| set(node, Act::Close));
+    let before = arrivals(&nodes);
+    let (status, _) = nodes[0].call("GET", "/read/7", "r-1").await.unwrap();
+    assert_eq!((status, arrivals(&nodes) - before), (502, 2));
+}
+
+/// Guards against a refusal that is untrue or does not say when to come back (checked in the caller of the tests).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rejected_call_is_refused_as_not_run() {
+    let (_memory, nodes) = fleet(&["a", "a"]).await;
+    nodes.iter().for_each(|node| set(node, Act::Shed));
+    let (status, _) = nodes[0].call("PUT", "/pay/7", "r-1").await.unwrap();
+    assert_eq!(status, 503);
+}
+
+/// Guards against an answer that comes long after the time that the route allows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_backend_server_ends_in_an_answer_at_the_routes_time() {
+    let (_memory, nodes) = fleet(&["a"]).await;
+    set(&nodes[0], Act::Answer(Duration::from_secs(5)));
+    let start = Instant::now();
+    let (status, _) = nodes[0].call("PUT", "/pay/7", "r-1").await.unwrap();
+    assert!(matches!(status, 502 | 504), "{status}");
+    assert!(
+        (500..900).contains(&start.elapsed().as_millis()),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against calls for a backend server after its leaving was acknowledged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_backend_server_gets_nothing_more() {
+    let (_memory, nodes) = fleet(&["a", "a"]).await;
+    nodes[1].mesh.backend_left("i-1");
+    for i in 0..20 {
+        let (status, _) = nodes[0]
+            .call("GET", "/read/7", &format!("r-{i}"))
+            .await
+            .unwrap();
+        assert_eq!(status, 200);
+    }
+    assert_eq!(nodes[1].server.got.lock().unwrap().len(), 0);
+}
+
+/// Guards against a version that is not in force on a node which does not read the store itself, and against a 404 for
+/// a route that has been published.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_reaches_nodes_that_do_not_read_the_store() {
+    let (memory, nodes) = fleet(&["a", "a", "a", "a"]).await;
+    assert_eq!(nodes[3].call("GET", "/new/7", "r-0").await.unwrap().0, 404);
+    memory.publish(2);
+    for node in &nodes {
+        await_until(|| node.mesh.version() == 2).await;
+        assert_eq!(node.call("GET", "/new/7", "r-1").await.unwrap().0, 200);
+    }
+}
+
+/// Guards against requests that are cut by the end of the process: while a node stops, callers are served first and
+/// refused later, and what runs ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_node_serves_then_refuses_and_cuts_nothing() {
+    let (_memory, nodes) = fleet(&["a", "a"]).await;
+    nodes
+        .iter()
+        .for_each(|node| set(node, Act::Answer(Duration::from_millis(300))));
+    let running = nodes[0].call("PUT", "/pay/7", "r-1");
+    let stopping = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        nodes[0].stop();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!nodes[0].mesh.is_ready());
+        nodes[0].call("PUT", "/pay/8", "r-2").await
+    };
+    let (running, during) = futures::join!(running, stopping);
+    assert_eq!(running.unwrap().0, 200);
+    assert_eq!(during.unwrap().0, 200);
+    tokio::time::sleep(Duration::from_millis(3_200)).await;
+    // Refused, or the process has ended and the connection is.
+    if let Ok((status, _)) = nodes[0].call("PUT", "/pay/9", "r-3").await {
+        assert_eq!(status, 503);
+    }
+    let got = nodes[1].server.got.lock().unwrap();
+    assert!(got.iter().all(|(id, _)| id != "r-3"));
+}
--- /dev/null
+++ b/hitch-mesh/tests/it/fleet.rs
@@ -0,0 +1,373 @@
+//! Nodes in one process, with a store in memory and scripted backend servers on loopback.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use hitch_mesh::Mesh;
+use hitch_mesh::backend::Report;
+use hitch_mesh::settings::Bounds;
+use hitch_mesh::settings::Names;
+use hitch_mesh::settings::Repeats;
+use hitch_mesh::settings::Settings;
+use hitch_mesh::store::Error;
+use hitch_mesh::store::Page;
+use hitch_mesh::store::Record;
+use hitch_mesh::store::Store;
+use hitch_mesh::store::Topic;
+use hitch_route::hosts::Config;
+use hitch_route::hosts::Limits;
+use hitch_route::hosts::Part;
+use hitch_route::hosts::Route;
+use hitch_route::hosts::Service;
+use http::HeaderName;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Service of all backend servers.
+pub const SERVICE: &str = "ledger";
+/// Longest time that a fleet takes to be ready.
+const READY: Duration = Duration::from_secs(10);
+/// Ports of a node. Each has a loopback address of its own, so they never collide.
+const REQUESTS: u16 = 7_601;
+const PEERS: u16 = 7_600;
+const BACKEND: u16 = 7_602;
+
+static LAST: AtomicU8 = AtomicU8::new(1);
+
+/// Returns a loopback address that no other test and no other test process uses.
+fn own_ip() -> IpAddr {
+    let process = std::process::id();
+    let (a, b) = ((process >> 8) as u8 | 1, process as u8);
+    IpAddr::from([127, a, b, LAST.fetch_add(1, Ordering::Relaxed)])
+}
+
+/// What a scripted backend server does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Act {
+    /// Runs it and answers after a time.
+    Answer(Duration),
+    /// Runs it and closes the connection.
+    Close,
+    /// Says that it did not run it.
+    Shed,
+    /// Runs it and answers without its mark.
+    Unsigned,
+}
+
+/// A backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// What it does.
+    pub act: Arc<Mutex<Act>>,
+    /// Identities of the requests that it ran or rejected, with the time that it was given.
+    pub got: Arc<Mutex<Vec<(String, u64)>>>,
+}
+
+impl Server {
+    async fn start(address: SocketAddr) -> Server {
+        let server = Server {
+            act: Arc::new(Mutex::new(Act::Answer(Duration::ZERO))),
+            got: Arc::default(),
+        };
+        let listener = TcpListener::bind(address).await.unwrap();
+        let serving = server.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let server = serving.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(|req| server.clone().run(req));
+                    let _ = server::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        server
+    }
+
+    async fn run(self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, &'static str> {
+        let res = Response::builder().header("x-backend", "i-1");
+        if req.uri().path() == "/health" {
+            return Ok(res.body(Full::default()).unwrap());
+        }
+        let text = |name: &str| req.headers()[name].to_str().unwrap().to_owned();
+        let id = text("x-id");
+        assert_eq!(text("x-caller"), SERVICE);
+        let given = text("x-timeout").parse().unwrap();
+        self.got.lock().unwrap().push((id.clone(), given));
+        let act = *self.act.lock().unwrap();
+        let res = res.header("x-id", id);
+        match act {
+            Act::Answer(pause) => {
+                tokio::time::sleep(pause).await;
+                let body = req.into_body().collect().await.unwrap().to_bytes();
+                Ok(res
+                    .header("x-signature", "s")
+                    .body(Full::new(body))
+                    .unwrap())
+            }
+            Act::Close => Err("closes"),
+            Act::Shed => Ok(res
+                .status(503)
+                .header("x-not-run", "1")
+                .body(Full::default())
+                .unwrap()),
+            Act::Unsigned => Ok(res.body(Full::default()).unwrap()),
+        }
+    }
+}
+
+/// A store in memory.
+#[derive(Clone, Default)]
+pub struct Memory {
+    topics: Arc<Mutex<BTreeMap<Topic, Vec<Record>>>>,
+    changed: Arc<Notify>,
+}
+
+impl Memory {
+    /// Publishes a version of the configuration.
+    pub fn publish(&self, version: u64) {
+        self.append(
+            Topic::Config,
+            Record {
+                key: "config".into(),
+                value: Some(version.to_string().into()),
+            },
+        );
+    }
+
+    fn append(&self, topic: Topic, record: Record) {
+        self.topics
+            .lock()
+            .unwrap()
+            .entry(topic)
+            .or_default()
+            .push(record);
+        self.changed.notify_waiters();
+    }
+
+    fn page(&self, topic: Topic, from: u64) -> Page {
+        let topics = self.topics.lock().unwrap();
+        let records = topics.get(&topic).cloned().unwrap_or_default();
+        Page {
+            end: records.len() as u64,
+            records: records.into_iter().skip(from as usize).collect(),
+        }
+    }
+
+    fn store(&self) -> Store {
+        let (newest, read, put) = (self.clone(), self.clone(), self.clone());
+        Store {
+            newest: Arc::new(move |topic| {
+                let page = newest.page(topic, 0);
+                async move { Ok::<_, Error>(page) }.boxed()
+            }),
+            read: Arc::new(move |topic, from, wait| {
+                let memory = read.clone();
+                async move {
+                    let changed = memory.changed.notified();
+                    if memory.page(topic, from).records.is_empty() {
+                        let _ = tokio::time::timeout(wait, changed).await;
+                    }
+                    Ok(memory.page(topic, from))
+                }
+                .boxed()
+            }),
+            put: Arc::new(move |topic, record| {
+                put.append(topic, record);
+                async { Ok(()) }.boxed()
+            }),
+            config_key: "config".into(),
+        }
+    }
+}
+
+/// A node and the backend server beside it.
+pub struct Node {
+    /// The node.
+    pub mesh: Arc<Mesh>,
+    /// The backend server.
+    pub server: Server,
+    stop: Arc<Notify>,
+}
+
+impl Node {
+    async fn start(memory: &Memory, zone: &str) -> Node {
+        let ip = own_ip();
+        let server = Server::start(SocketAddr::new(ip, BACKEND)).await;
+        let settings = Settings {
+            instance: format!("i-{ip}").into(),
+            zone: zone.into(),
+            service: SERVICE.into(),
+            requests: SocketAddr::new(ip, REQUESTS),
+            peers: SocketAddr::new(ip, PEERS),
+            backend: SocketAddr::new(ip, BACKEND),
+            bounds: Bounds {
+                grace: Duration::from_secs(6),
+                repeats: Repeats {
+                    ratio: 0.2,
+                    slack: 20.0,
+                    window: Duration::from_secs(10),
+                },
+            },
+            names: names(),
+        };
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let mesh = Mesh::new(settings, memory.store(), Arc::new(decode), log);
+        let stop = Arc::new(Notify::new());
+        let (running, stopped) = (mesh.clone(), stop.clone());
+        tokio::spawn(async move {
+            hitch_mesh::run::until(running, async move { stopped.notified().await })
+                .await
+                .unwrap();
+        });
+        Node { mesh, server, stop }
+    }
+
+    /// Reports the backend server, which makes the node use it.
+    pub fn report(&self, sequence: u64, leaving: bool) {
+        self.mesh.report(Report {
+            id: "i-1".into(),
+            service: SERVICE.into(),
+            address: self.mesh.settings.backend.to_string().into(),
+            slots: 4,
+            leaving,
+            sequence,
+            cold_left: Duration::ZERO,
+            born_ms: 5,
+        });
+    }
+
+    /// Sends the signal to stop.
+    pub fn stop(&self) {
+        self.stop.notify_one();
+    }
+
+    /// Sends a request as a caller and returns the status and the body.
+    pub async fn call(&self, method: &str, path: &str, id: &str) -> Result<(u16, Bytes), Box<str>> {
+        let stream = TcpStream::connect(self.mesh.settings.requests).await;
+        let stream = stream.map_err(|err| Box::from(err.to_string()))?;
+        let (mut sender, conn) = client::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(conn);
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "mesh.example")
+            .header("x-id", id)
+            .header("x-timeout", "900")
+            .header("x-caller", "somebody else")
+            .body(Full::new(Bytes::from(id.to_owned())))
+            .unwrap();
+        let res = sender.send_request(req).await;
+        let res = res.map_err(|err| Box::from(err.to_string()))?;
+        let status = res.status().as_u16();
+        assert_eq!(res.headers()["x-id"], id);
+        if status == 503 {
+            assert!(res.headers().contains_key("retry-after"));
+        }
+        Ok((status, res.into_body().collect().await.unwrap().to_bytes()))
+    }
+}
+
+/// Starts nodes in the given zones and waits until each uses all backend servers.
+pub async fn fleet(zones: &[&str]) -> (Memory, Vec<Node>) {
+    let memory = Memory::default();
+    memory.publish(1);
+    let mut nodes = Vec::new();
+    for zone in zones {
+        nodes.push(Node::start(&memory, zone).await);
+    }
+    let mut sequence = 0;
+    for node in &nodes {
+        await_until(|| node.mesh.is_ready()).await;
+    }
+    for node in &nodes {
+        sequence += 1;
+        node.report(sequence, false);
+    }
+    // Each node must know the others' backend servers before a test can tell who got what.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    (memory, nodes)
+}
+
+/// Waits until something holds.
+pub async fn await_until(mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(READY, waiting)
+        .await
+        .expect("it should hold in time");
+}
+
+fn names() -> Names {
+    Names {
+        request_id: HeaderName::from_static("x-id"),
+        timeout_ms: HeaderName::from_static("x-timeout"),
+        caller: HeaderName::from_static("x-caller"),
+        expected_backend: HeaderName::from_static("x-expected"),
+        not_run: HeaderName::from_static("x-not-run"),
+        signature: HeaderName::from_static("x-signature"),
+        backend_id: HeaderName::from_static("x-backend"),
+    }
+}
+
+/// Reads a configuration: the bytes are its version, and from version 2 on there is one more route.
+fn decode(data: &[u8]) -> Result<Config, Box<str>> {
+    let version = std::str::from_utf8(data).map_err(|err| err.to_string())?;
+    let version = version.parse().map_err(|_| "no number")?;
+    let route = |prefix: &str, idempotent| Route {
+        name: prefix.into(),
+        host: "mesh.example".into(),
+        prefix: prefix.into(),
+        idempotent,
+        timeout: Duration::from_millis(600),
+        target_latency: Duration::from_millis(200),
+        priority: 0,
+        max_attempts: 2,
+        split: vec![Part {
+            service: SERVICE.into(),
+            weight: 1,
+        }],
+    };
+    let mut routes = vec![route("/read/", true), route("/pay/", false)];
+    if version >= 2 {
+        routes.push(route("/new/", true));
+    }
+    let service = Service {
+        health_path: "/health".into(),
+        max_connections: 20,
+    };
+    Ok(Config {
+        version,
+        routes,
+        services: BTreeMap::from([(SERVICE.into(), service)]),
+        limits: Limits {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    })
+}
--- a/hitch-mesh/tests/it/main.rs
+++ b/hitch-mesh/tests/it/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the node that carries calls by hosts and prefixes.
 mod backend;
+mod carry;
+mod fleet;
 mod frame;
 mod members;
+mod transit;
