Let tests of the nodes fail where they must

A node that repeated a payment passed, since the budget for repeats was empty; it is now earned first. The stop is tested with a call that keeps the process from its end. A build that repeats what may have run fails the first test.

--- a/hitch-mesh/tests/it/carry.rs
+++ b/hitch-mesh/tests/it/carry.rs
@@ -12,6 +12,15 @@
     *node.server.act.lock().unwrap() = act;
 }
 
+/// Fills the budget for repeats, so that a test which sees none shows that none was wanted.
+async fn earn(node: &Node) {
+    for i in 0..40 {
+        node.call("GET", "/read/7", &format!("w-{i}"))
+            .await
+            .unwrap();
+    }
+}
+
 fn arrivals(nodes: &[Node]) -> usize {
     nodes
         .iter()
@@ -38,6 +47,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn call_that_may_have_run_is_not_repeated() {
     let (_memory, nodes) = fleet(&["a", "a"]).await;
+    earn(&nodes[0]).await;
     for act in [Act::Close, Act::Unsigned] {
         nodes.iter().for_each(|node| set(node, act));
         let before = arrivals(&nodes);
@@ -52,13 +62,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idempotent_call_is_repeated_within_the_route_and_the_budget() {
     let (_memory, nodes) = fleet(&["a", "a", "a"]).await;
-    // The budget is earned by requests.
-    for i in 0..40 {
-        nodes[0]
-            .call("GET", "/read/7", &format!("w-{i}"))
-            .await
-            .unwrap();
-    }
+    earn(&nodes[0]).await;
     nodes.iter().for_each(|node| set(node, Act::Close));
     let before = arrivals(&nodes);
     let (status, _) = nodes[0].call("GET", "/read/7", "r-1").await.unwrap();
@@ -136,11 +140,24 @@
     let (running, during) = futures::join!(running, stopping);
     assert_eq!(running.unwrap().0, 200);
     assert_eq!(during.unwrap().0, 200);
-    tokio::time::sleep(Duration::from_millis(3_200)).await;
-    // Refused, or the process has ended and the connection is.
-    if let Ok((status, _)) = nodes[0].call("PUT", "/pay/9", "r-3").await {
+    // A call that runs keeps the process from its end while a later one comes.
+    tokio::time::sleep(Duration::from_millis(2_350)).await;
+    nodes
+        .iter()
+        .for_each(|node| set(node, Act::Answer(Duration::from_millis(550))));
+    let last = nodes[0].call("PUT", "/pay/9", "r-3");
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        nodes[0].call("PUT", "/pay/10", "r-4").await
+    };
+    let (last, late) = futures::join!(last, late);
+    assert_eq!(last.unwrap().0, 200);
+    // Refused, or the connection is closed without having read it: either way it has not run.
+    if let Ok((status, _)) = late {
         assert_eq!(status, 503);
     }
-    let got = nodes[1].server.got.lock().unwrap();
-    assert!(got.iter().all(|(id, _)| id != "r-3"));
+    for node in &nodes {
+        let got = node.server.got.lock().unwrap();
+        assert!(got.iter().all(|(id, _)| id != "r-4"));
+    }
 }
