--- a/hitch-mesh/src/run.rs
+++ b/hitch-mesh/src/run.rs
@@ -34,8 +34,9 @@
 const STILL_ACCEPTING: Duration = Duration::from_millis(3_000);
 /// Interval at which a stopping node looks whether its last call has ended.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
-/// Time before the end of the grace period at which the process ends in any case.
-const BEFORE_KILL: Duration = Duration::from_millis(300);
+/// Time before the end of the grace period at which the process ends in any case. Within 300 ms, processes on machines
+/// with a tenth of a core were still there when they were killed.
+const BEFORE_KILL: Duration = Duration::from_millis(800);
 
 /// Why a node cannot start.
 #[derive(Debug, Snafu)]
