Let a stopping node take calls when no other node does

The nodes of the booking service were restarted in turn, each refused calls from SIGTERM on although its backend server went on, and the third backend server was leaving. A stopping node now takes calls for the 3 s in which it serves callers, and the others turn to it last.

--- a/hitch-mesh/src/backend.rs
+++ b/hitch-mesh/src/backend.rs
@@ -104,6 +104,34 @@
         self.cold_until.saturating_sub(now)
     }
 
+    /// Takes in that the healthy backend server `id` answers, before it has reported itself to this process.
+    ///
+    /// It runs `slots` calls at once until its report says how many it can.
+    ///
+    /// ```
+    /// use hitch_mesh::backend::*;
+    /// let mut beside = Beside::default();
+    /// assert_eq!(beside.found("i-1", "ledger", 4), Change::Restarted);
+    /// assert_eq!(beside.standing(), Standing::Accepting);
+    /// ```
+    pub fn found(&mut self, id: &str, service: &str, slots: u32) -> Change {
+        if self.standing != Standing::Unknown || self.latest.is_some() {
+            return Change::None;
+        }
+        self.latest = Some(Report {
+            id: id.into(),
+            service: service.into(),
+            address: "".into(),
+            slots,
+            leaving: false,
+            sequence: 0,
+            cold_left: Duration::ZERO,
+            born_ms: 0,
+        });
+        self.standing = Standing::Accepting;
+        Change::Restarted
+    }
+
     /// Takes a report in.
     ///
     /// ```
@@ -120,7 +148,9 @@
             if report.born_ms < latest.born_ms {
                 return Change::None;
             }
-            let same = report.id == latest.id && report.born_ms == latest.born_ms;
+            // What was found by its health has no time of its start yet.
+            let same_start = report.born_ms == latest.born_ms || latest.born_ms == 0;
+            let same = report.id == latest.id && same_start;
             if same && report.sequence <= latest.sequence {
                 return Change::None;
             }
--- a/hitch-mesh/src/config.rs
+++ b/hitch-mesh/src/config.rs
@@ -45,13 +45,17 @@
     if config.version <= mesh.version() {
         return;
     }
+    let is_first = mesh.version() == 0;
     let version = config.version;
     let routes = config.routes.len();
     mesh.table.store(Some(Arc::new(Table::new(config))));
     *raw = Some(data);
     mesh.newest_seen.fetch_max(version, Ordering::Relaxed);
     drop(raw);
-    execute::reconfigure(mesh);
+    match is_first {
+        true => drop(tokio::spawn(execute::find(mesh.clone()))),
+        false => execute::reconfigure(mesh),
+    }
     tell(mesh, version);
     mesh.metrics.version.set(version as i64);
     slog::info!(mesh.reporter.log(), "config: in force"; "version" => version, "routes" => routes,
--- a/hitch-mesh/src/dial.rs
+++ b/hitch-mesh/src/dial.rs
@@ -21,10 +21,14 @@
 use crate::peer;
 use crate::socket;
 
-/// Longest time to open a connection to another node. Between zones it takes some milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time to open a connection to another node. It takes milliseconds between zones, and up to a second when
+/// hundreds of nodes with a tenth of a core each start together.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time from the open connection to the first word of the node.
-const STATE_TIMEOUT: Duration = Duration::from_millis(800);
+const STATE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Nodes that are asked for the list of nodes while the store has not given it. A list of 300 nodes has 18 KB, so asking
+/// each node would choke narrow links.
+const LISTS: u64 = 3;
 /// Interval at which connections with calls are looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Silence on a connection with calls after which the node is asked for an echo.
@@ -133,7 +137,8 @@
     link.send(Kind::Members(Members {
         members: own.into_iter().collect(),
     }));
-    if !mesh.is_listed.load(Ordering::Relaxed) {
+    let asked = || mesh.lists_asked.fetch_add(1, Ordering::Relaxed);
+    if !mesh.is_listed.load(Ordering::Relaxed) && asked() < LISTS {
         link.send(Kind::Members(Members::default()));
     }
 }
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -1,6 +1,7 @@
 //! Calls for the backend server beside the node: waiting, handing over, and what its answers mean.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -68,6 +69,9 @@
 /// Longest time for which an idle connection is used again. Under load connections are used again within milliseconds,
 /// so a short time costs few new ones.
 const MAX_IDLE: Duration = Duration::from_secs(1);
+/// Calls that a backend server runs at once before it has reported how many it can: fewer than any of the deployments
+/// has, since some fall silent when they get more than they can queue.
+const UNREPORTED_SLOTS: u32 = 8;
 /// Connections beyond the slots: one may be closing while its slot is already free.
 const SPARE_CONNECTIONS: usize = 4;
 
@@ -285,7 +289,7 @@
 }
 
 fn accepts(mesh: &Mesh) -> bool {
-    !mesh.is_draining() && lock(&mesh.beside).standing() == Standing::Accepting
+    !mesh.closing.load(Ordering::Relaxed) && lock(&mesh.beside).standing() == Standing::Accepting
 }
 
 fn describe(reason: Reason) -> &'static str {
@@ -474,44 +478,63 @@
     }
 }
 
-/// Asks the backend server whether it is healthy, after a start of the node.
+/// Asks the backend server whether it is healthy, when it has reported itself to a node that has just started.
 pub(crate) async fn verify(mesh: Arc<Mesh>) {
-    let path = mesh
-        .table
-        .load()
-        .as_ref()
-        .and_then(|t| t.config().services.get(&mesh.settings.service).cloned())
-        .map(|service| service.health_path);
+    let healthy = ask_health(&mesh).await;
+    let change = lock(&mesh.beside).verified(healthy.as_deref());
+    mesh.beside_changed(change);
+}
+
+/// Asks the backend server whether it is healthy, before it has reported itself. Reports come at intervals of a second
+/// or more, and a node that was restarted beside a healthy backend server need not wait for one.
+pub(crate) async fn find(mesh: Arc<Mesh>) {
+    let Some(id) = ask_health(&mesh).await else {
+        return;
+    };
+    let service = &mesh.settings.service;
+    let change = lock(&mesh.beside).found(&id, service, UNREPORTED_SLOTS);
+    mesh.beside_changed(change);
+}
+
+/// Returns the identity of the backend server if it says that it is healthy.
+async fn ask_health(mesh: &Mesh) -> Option<Box<str>> {
     // Without a configuration nothing is routed; the next report asks again.
-    let Some(path) = path else { return };
+    let table = mesh.table.load_full()?;
+    let service = table.config().services.get(&mesh.settings.service)?;
+    let names = &mesh.settings.names;
     let options = backend::Options {
         connections: 1,
         connect_timeout: CONNECT_TIMEOUT,
-        call_id: mesh.settings.names.backend_id.clone(),
+        // The answer names the backend server, and no call.
+        call_id: names.request_id.clone(),
         is_call_id_required: false,
         max_idle: MAX_IDLE,
     };
     let connections = Backend::at(&mesh.settings.backend.to_string(), options);
-    let Some(id) = lock(&mesh.beside).latest().map(|r| r.id.clone()) else {
-        return;
-    };
-    let req = Request::get(&*path)
+    let req = Request::get(&*service.health_path)
         .header(http::header::HOST, mesh.settings.backend.to_string())
         .body(Bytes::new());
-    let Ok(req) = req else { return };
+    let req = match req {
+        Ok(req) => req,
+        Err(err) => {
+            slog::error!(mesh.reporter.log(), "backend: its health path is unusable"; "error" => %err);
+            return None;
+        }
+    };
     let until = Instant::now() + HEALTH_TIMEOUT;
-    let res = connections.run(req, &id, until, || ()).await;
-    let change = match res {
-        Ok(res) if res.status().is_success() => lock(&mesh.beside).verified(Some(&id)),
+    match connections.run(req, "", until, || ()).await {
+        Ok(res) if res.status().is_success() => {
+            let id = res.headers().get(&names.backend_id)?.to_str().ok()?;
+            Some(id.into())
+        }
         Ok(res) => {
             slog::info!(mesh.reporter.log(), "backend: not healthy at the start of the node";
-                "backend" => %id, "status" => res.status().as_u16());
-            lock(&mesh.beside).verified(None)
+                "status" => res.status().as_u16());
+            None
         }
         Err(err) => {
             slog::info!(mesh.reporter.log(), "backend: health not known"; "error" => %err);
-            lock(&mesh.beside).verified(None)
+            None
         }
-    };
-    mesh.beside_changed(change);
+    }
 }
--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -206,6 +206,9 @@
     /// Whether the node cannot read the store at present, so that others must not rely on it for news.
     #[prost(bool, tag = "6")]
     pub lacks_store: bool,
+    /// Whether the node is about to stop: it still takes calls, for callers that find no other backend server.
+    #[prost(bool, tag = "7")]
+    pub stopping: bool,
 }
 
 /// A node.
--- a/hitch-mesh/src/mesh.rs
+++ b/hitch-mesh/src/mesh.rs
@@ -87,6 +87,7 @@
     /// Wakes the controller that decides whether this node reads the store for its zone.
     pub(crate) readers_changed: Notify,
     pub(crate) is_listed: AtomicBool,
+    pub(crate) lists_asked: AtomicU64,
     pub(crate) beside: Mutex<Beside>,
     pub(crate) server: ArcSwapOption<Server>,
     pub(crate) state: watch::Sender<State>,
@@ -156,6 +157,7 @@
             members_wake: Notify::new(),
             readers_changed: Notify::new(),
             is_listed: AtomicBool::new(false),
+            lists_asked: AtomicU64::new(0),
             beside: Mutex::new(Beside::default()),
             server: ArcSwapOption::empty(),
             state,
@@ -276,7 +278,7 @@
         if standing == Standing::Accepting {
             execute::open(self, &latest);
         }
-        let accepts = standing == Standing::Accepting && !self.is_draining();
+        let accepts = standing == Standing::Accepting && !self.closing.load(Ordering::Relaxed);
         self.state.send_modify(|state| {
             state.accepts = accepts;
             state.limit = latest.slots;
@@ -289,9 +291,10 @@
     /// Enters what a node says of itself into the pool of its service.
     pub(crate) fn apply_state(&self, state: &State) {
         let Some(member) = &state.member else { return };
-        let standing = match state.accepts {
-            true => PoolStanding::Accepting,
-            false => PoolStanding::Leaving,
+        let standing = match (state.accepts, state.stopping) {
+            (true, false) => PoolStanding::Accepting,
+            (true, true) => PoolStanding::Stopping,
+            (false, _) => PoolStanding::Leaving,
         };
         let mut shard = self.pools.lock(&member.service);
         let pool = shard
@@ -320,7 +323,8 @@
         links.get(address).filter(|link| !link.is_closed()).cloned()
     }
 
-    /// Begins to stop: callers and other nodes are told to go elsewhere, what runs goes on.
+    /// Begins to stop: callers are told to go elsewhere, and other nodes to come only when no other backend server takes
+    /// calls. The backend server beside the node goes on, and nodes that stop in turn must not leave a service without any.
     ///
     /// ```no_run
     /// # fn run(mesh: std::sync::Arc<hitch_mesh::Mesh>) {
@@ -330,6 +334,14 @@
     /// ```
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
+        self.state.send_modify(|state| state.stopping = true);
+        let state = self.state.borrow().clone();
+        self.apply_state(&state);
+    }
+
+    /// Takes no new requests and calls from here on, so that all that runs ends before the process does.
+    pub(crate) fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
         self.state.send_modify(|state| state.accepts = false);
         let state = self.state.borrow().clone();
         self.apply_state(&state);
--- a/hitch-mesh/src/run.rs
+++ b/hitch-mesh/src/run.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -83,7 +82,7 @@
     slog::info!(mesh.reporter.log(), "node: stopping"; "under_way" => mesh.under_way());
     tokio::time::sleep(STILL_ACCEPTING).await;
     // Idle connections are closed from here on; requests that arrive on one meanwhile are refused.
-    mesh.closing.store(true, Ordering::Relaxed);
+    mesh.close();
     let _ = close_tx.send(true);
     let end = stopped_at + mesh.bounds.load().grace.saturating_sub(BEFORE_KILL);
     while mesh.now() < end {
--- a/hitch-mesh/tests/it/backend.rs
+++ b/hitch-mesh/tests/it/backend.rs
@@ -95,3 +95,27 @@
     assert_eq!(beside.refused(), Change::None);
     assert_eq!(beside.standing(), Standing::Leaving);
 }
+
+/// Guards against a backend server that gets no calls until its next report after a restart of the node beside it, and
+/// against reports that a healthy answer hides.
+#[test]
+fn healthy_backend_server_is_used_before_its_first_report() {
+    let mut beside = Beside::default();
+    beside.found("i-1", "ledger", 4);
+    assert_eq!(beside.standing(), Standing::Accepting);
+    // Its report brings the slots and is no new start.
+    assert_eq!(
+        beside.report(NOW, report("i-1", 5, 9, false)),
+        Change::Standing
+    );
+    assert_eq!(beside.latest().unwrap().slots, 13);
+    assert_eq!(beside.report(NOW, report("i-1", 5, 8, true)), Change::None);
+    assert_eq!(beside.found("i-1", "ledger", 4), Change::None);
+    let mut beside = Beside::default();
+    beside.found("i-1", "ledger", 4);
+    beside.report(NOW, report("i-1", 5, 9, true));
+    assert_eq!(beside.standing(), Standing::Leaving);
+    // A report from before does not undo what was reported, and a late one of another start is placed by its time.
+    beside.report(NOW, report("i-0", 4, 99, false));
+    assert_eq!(beside.standing(), Standing::Leaving);
+}
--- a/hitch-route/src/pool.rs
+++ b/hitch-route/src/pool.rs
@@ -44,6 +44,8 @@
     Starting,
     /// It takes new calls.
     Accepting,
+    /// It takes new calls for a short time yet, and gets them only when no other backend server takes any.
+    Stopping,
     /// It is leaving, suspected or gone.
     Leaving,
 }
@@ -429,6 +431,12 @@
             usable.push(key);
         }
         usable.retain(|k| !exclude.contains(k));
+        if usable.is_empty() {
+            let stopping = self.entries.iter();
+            let stopping = stopping.filter(|(_, e)| e.backend.standing == Standing::Stopping);
+            usable = stopping.map(|(key, _)| key).collect();
+            usable.retain(|k| !exclude.contains(k));
+        }
         usable
     }
 
--- a/hitch-route/tests/it/pool.rs
+++ b/hitch-route/tests/it/pool.rs
@@ -150,3 +150,25 @@
     }
     assert!((10..30).contains(&far), "{far} of 60 calls left the zone");
 }
+
+/// Guards against a service without any backend server while its nodes are restarted in turn.
+#[test]
+fn stopping_backend_is_chosen_only_when_no_other_takes_calls() {
+    let mut pool = pool(&["a", "b"]);
+    pool.upsert(Backend {
+        standing: Standing::Stopping,
+        ..backend(0, "a")
+    });
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..20 {
+        let pick = pool.pick_patiently(MS, &mut rng, &[], MS).unwrap();
+        assert_eq!(&*pick.instance, "i-1");
+        pool.started(pick.key);
+    }
+    pool.upsert(Backend {
+        standing: Standing::Leaving,
+        ..backend(1, "b")
+    });
+    let pick = pool.pick_patiently(MS, &mut rng, &[], MS).unwrap();
+    assert_eq!(&*pick.instance, "i-0");
+}
