Remove what the node of the users' platform does not use

The time left until the target, the cold time and the slots in the state of a node, the length of the budget's window and the farewell of members were carried and read by nobody.

--- a/hitch-mesh/src/arrival.rs
+++ b/hitch-mesh/src/arrival.rs
@@ -208,7 +208,7 @@
     let rank = admitted.call.priority;
     let deadline = admitted.deadline;
     let time_left = deadline.saturating_sub(mesh.now());
-    let result = tokio::time::timeout(time_left, attempts(mesh, &admitted, arrived)).await;
+    let result = tokio::time::timeout(time_left, attempts(mesh, &admitted)).await;
     let res = match result {
         Ok(Outcome::Answered(answer)) => {
             count(mesh, "served", "");
@@ -258,7 +258,7 @@
 }
 
 /// Sends the call to one backend server after the other, as far as the route and the budget allow.
-async fn attempts(mesh: &Arc<Mesh>, admitted: &Admitted, arrived: Duration) -> Outcome {
+async fn attempts(mesh: &Arc<Mesh>, admitted: &Admitted) -> Outcome {
     earn(mesh, &admitted.service);
     let mut tried = Vec::new();
     let mut arrivals = 0;
@@ -279,7 +279,7 @@
             paid = may_repeat && try_spend(mesh, &admitted.service);
             paid
         };
-        let outcome = attempt(mesh, admitted, &pick, arrived, leave).await;
+        let outcome = attempt(mesh, admitted, &pick, leave).await;
         finished(mesh, &admitted.service, pick.key, started, &outcome);
         let may_repeat = match &outcome {
             Outcome::Answered(_) => return outcome,
@@ -324,15 +324,12 @@
     mesh: &Arc<Mesh>,
     admitted: &Admitted,
     pick: &Pick,
-    arrived: Duration,
     mut leave: impl FnMut() -> bool,
 ) -> Outcome {
     let now = mesh.now();
     let mut call = admitted.call.clone();
     call.sent_ms = now.as_millis() as u64;
     call.left_ms = admitted.deadline.saturating_sub(now).as_millis() as u32;
-    let target = arrived + admitted.route.target_latency;
-    call.target_left_ms = target.saturating_sub(now).as_millis() as u32;
     if pick.address == mesh.own_address() {
         let left = Arc::new(Notify::new());
         let (mesh, notified) = (mesh.clone(), left.clone());
--- a/hitch-mesh/src/backend.rs
+++ b/hitch-mesh/src/backend.rs
@@ -4,8 +4,6 @@
 //! placed by the time of that start and by its sequence. A node that has just started cannot tell whether the backend
 //! server began to leave before: it asks once for its health before the first call.
 
-use std::time::Duration;
-
 /// A report of a backend server on itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -21,8 +19,6 @@
     pub leaving: bool,
     /// Position among the reports of this start.
     pub sequence: u64,
-    /// How much longer it is slow after its start.
-    pub cold_left: Duration,
     /// Time of its start, in milliseconds since the Unix epoch.
     pub born_ms: u64,
 }
@@ -60,7 +56,6 @@
     latest: Option<Report>,
     // Identities that were taken for gone; a late report must not bring one back.
     gone: Option<Box<str>>,
-    cold_until: Duration,
 }
 
 impl Default for Beside {
@@ -69,7 +64,6 @@
             standing: Standing::Unknown,
             latest: None,
             gone: None,
-            cold_until: Duration::ZERO,
         }
     }
 }
@@ -94,16 +88,6 @@
         self.latest.as_ref()
     }
 
-    /// Returns how much longer the backend server is slow after its start.
-    ///
-    /// ```
-    /// let beside = hitch_mesh::backend::Beside::default();
-    /// assert!(beside.cold_left(std::time::Duration::ZERO).is_zero());
-    /// ```
-    pub fn cold_left(&self, now: Duration) -> Duration {
-        self.cold_until.saturating_sub(now)
-    }
-
     /// Takes in that the healthy backend server `id` answers, before it has reported itself to this process.
     ///
     /// It runs `slots` calls at once until its report says how many it can.
@@ -125,7 +109,6 @@
             slots,
             leaving: false,
             sequence: 0,
-            cold_left: Duration::ZERO,
             born_ms: 0,
         });
         self.standing = Standing::Accepting;
@@ -137,12 +120,12 @@
     /// ```
     /// use hitch_mesh::backend::*;
     /// let report = Report { id: "i-1".into(), service: "ledger".into(), address: "10.0.0.1:80".into(), slots: 13,
-    ///     leaving: false, sequence: 1, cold_left: Default::default(), born_ms: 5 };
+    ///     leaving: false, sequence: 1, born_ms: 5 };
     /// let mut beside = Beside::default();
-    /// beside.report(Default::default(), report);
+    /// beside.report(report);
     /// assert_eq!(beside.standing(), Standing::Unverified);
     /// ```
-    pub fn report(&mut self, now: Duration, report: Report) -> Change {
+    pub fn report(&mut self, report: Report) -> Change {
         let mut restarted = false;
         if let Some(latest) = &self.latest {
             if report.born_ms < latest.born_ms {
@@ -160,7 +143,6 @@
             return Change::None;
         }
         let slots_changed = self.latest.as_ref().map(|r| r.slots) != Some(report.slots);
-        self.cold_until = now + report.cold_left;
         let before = self.standing;
         self.standing = match (report.leaving, restarted, before) {
             (true, _, _) => Standing::Leaving,
--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -91,23 +91,20 @@
     /// Time left until the caller has to be answered, in milliseconds.
     #[prost(uint32, tag = "9")]
     pub left_ms: u32,
-    /// Time left until an answer is worth less, in milliseconds; 0 when that has passed.
-    #[prost(uint32, tag = "10")]
-    pub target_left_ms: u32,
     /// Rank; 0 is the most urgent.
-    #[prost(uint32, tag = "11")]
+    #[prost(uint32, tag = "10")]
     pub priority: u32,
     /// Whether the call may run more than once.
-    #[prost(bool, tag = "12")]
+    #[prost(bool, tag = "11")]
     pub idempotent: bool,
     /// Body of the request.
-    #[prost(bytes = "bytes", tag = "13")]
+    #[prost(bytes = "bytes", tag = "12")]
     pub body: Bytes,
     /// Version of the configuration that the call was routed by.
-    #[prost(uint64, tag = "14")]
+    #[prost(uint64, tag = "13")]
     pub version: u64,
     /// When the call was sent, by the sender's own clock, in milliseconds. Only differences count.
-    #[prost(uint64, tag = "15")]
+    #[prost(uint64, tag = "14")]
     pub sent_ms: u64,
 }
 
@@ -194,20 +191,14 @@
     /// Whether the backend server takes calls.
     #[prost(bool, tag = "2")]
     pub accepts: bool,
-    /// Calls that it runs at once.
-    #[prost(uint32, tag = "3")]
-    pub limit: u32,
-    /// How much longer it is slow after its start, in milliseconds.
-    #[prost(uint32, tag = "4")]
-    pub cold_left_ms: u32,
     /// Version of the configuration at the node.
-    #[prost(uint64, tag = "5")]
+    #[prost(uint64, tag = "3")]
     pub version: u64,
     /// Whether the node cannot read the store at present, so that others must not rely on it for news.
-    #[prost(bool, tag = "6")]
+    #[prost(bool, tag = "4")]
     pub lacks_store: bool,
     /// Whether the node is about to stop: it still takes calls, for callers that find no other backend server.
-    #[prost(bool, tag = "7")]
+    #[prost(bool, tag = "5")]
     pub stopping: bool,
 }
 
--- a/hitch-mesh/src/members.rs
+++ b/hitch-mesh/src/members.rs
@@ -78,19 +78,6 @@
         }
     }
 
-    /// Forgets a member that has said goodbye, unless a later incarnation of it is connected.
-    ///
-    /// ```
-    /// let mut members = hitch_mesh::members::Members::default();
-    /// members.forget("10.0.0.1:7600");
-    /// assert!(members.list().is_empty());
-    /// ```
-    pub fn forget(&mut self, address: &str) {
-        if self.by_address.get(address).is_some_and(|e| !e.connected) {
-            self.by_address.remove(address);
-        }
-    }
-
     /// Returns the members to connect to now, and notes that this is being done.
     ///
     /// ```
--- a/hitch-mesh/src/mesh.rs
+++ b/hitch-mesh/src/mesh.rs
@@ -241,7 +241,7 @@
         }
         let (change, standing) = {
             let mut beside = lock(&self.beside);
-            let change = beside.report(self.time.now(), report);
+            let change = beside.report(report);
             (change, beside.standing())
         };
         if standing == Standing::Unverified {
@@ -267,10 +267,9 @@
         if change == Change::None {
             return;
         }
-        let (standing, latest, cold_left) = {
+        let (standing, latest) = {
             let beside = lock(&self.beside);
-            let cold_left = beside.cold_left(self.time.now());
-            (beside.standing(), beside.latest().cloned(), cold_left)
+            (beside.standing(), beside.latest().cloned())
         };
         slog::info!(self.reporter.log(), "backend: {:?}", standing;
             "backend" => latest.as_ref().map_or("", |r| &r.id));
@@ -279,11 +278,7 @@
             execute::open(self, &latest);
         }
         let accepts = standing == Standing::Accepting && !self.closing.load(Ordering::Relaxed);
-        self.state.send_modify(|state| {
-            state.accepts = accepts;
-            state.limit = latest.slots;
-            state.cold_left_ms = cold_left.as_millis() as u32;
-        });
+        self.state.send_modify(|state| state.accepts = accepts);
         let state = self.state.borrow().clone();
         self.apply_state(&state);
     }
--- a/hitch-mesh/src/settings.rs
+++ b/hitch-mesh/src/settings.rs
@@ -41,10 +41,8 @@
 pub struct Repeats {
     /// Repeats for each request.
     pub ratio: f64,
-    /// Repeats on top of that in a window, over all nodes.
+    /// Repeats on top of that in a window of some seconds, over all nodes.
     pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
 }
 
 /// Names of the headers that the node reads and sets.
--- a/hitch-mesh/src/store.rs
+++ b/hitch-mesh/src/store.rs
@@ -97,6 +97,6 @@
     pub read: Read,
     /// Appends a record to a topic.
     pub put: Put,
-    /// Returns the configuration among the records of [`Topic::Config`], if one of them holds it.
+    /// Key of the record of [`Topic::Config`] that holds the configuration.
     pub config_key: Box<str>,
 }
--- a/hitch-mesh/tests/it/backend.rs
+++ b/hitch-mesh/tests/it/backend.rs
@@ -1,14 +1,10 @@
 //! Tests of what is known of the backend server beside the node.
 
-use std::time::Duration;
-
 use hitch_mesh::backend::Beside;
 use hitch_mesh::backend::Change;
 use hitch_mesh::backend::Report;
 use hitch_mesh::backend::Standing;
 
-const NOW: Duration = Duration::ZERO;
-
 fn report(id: &str, born_ms: u64, sequence: u64, leaving: bool) -> Report {
     Report {
         id: id.into(),
@@ -17,14 +13,13 @@
         slots: 13,
         leaving,
         sequence,
-        cold_left: Duration::ZERO,
         born_ms,
     }
 }
 
 fn accepting() -> Beside {
     let mut beside = Beside::default();
-    beside.report(NOW, report("i-1", 5, 4, false));
+    beside.report(report("i-1", 5, 4, false));
     assert_eq!(beside.verified(Some("i-1")), Change::Standing);
     beside
 }
@@ -33,10 +28,10 @@
 #[test]
 fn first_report_counts_only_with_a_good_health() {
     let mut beside = Beside::default();
-    beside.report(NOW, report("i-1", 5, 4, false));
+    beside.report(report("i-1", 5, 4, false));
     assert_eq!(beside.standing(), Standing::Unverified);
     beside.verified(None);
-    beside.report(NOW, report("i-1", 5, 5, false));
+    beside.report(report("i-1", 5, 5, false));
     assert_eq!(beside.standing(), Standing::Unverified);
     beside.verified(Some("i-2"));
     assert_eq!(beside.standing(), Standing::Unverified);
@@ -48,11 +43,11 @@
 #[test]
 fn late_report_does_not_undo_leaving() {
     let mut beside = accepting();
-    beside.report(NOW, report("i-1", 5, 9, true));
-    assert_eq!(beside.report(NOW, report("i-1", 5, 8, false)), Change::None);
+    beside.report(report("i-1", 5, 9, true));
+    assert_eq!(beside.report(report("i-1", 5, 8, false)), Change::None);
     assert_eq!(beside.standing(), Standing::Leaving);
     // Also one with a later sequence, sent before the backend server decided to leave.
-    beside.report(NOW, report("i-1", 5, 10, false));
+    beside.report(report("i-1", 5, 10, false));
     assert_eq!(beside.standing(), Standing::Leaving);
 }
 
@@ -60,11 +55,8 @@
 #[test]
 fn report_of_an_earlier_start_is_ignored() {
     let mut beside = accepting();
-    assert_eq!(
-        beside.report(NOW, report("i-2", 9, 1, false)),
-        Change::Restarted
-    );
-    assert_eq!(beside.report(NOW, report("i-1", 5, 99, true)), Change::None);
+    assert_eq!(beside.report(report("i-2", 9, 1, false)), Change::Restarted);
+    assert_eq!(beside.report(report("i-1", 5, 99, true)), Change::None);
     assert_eq!(beside.standing(), Standing::Accepting);
     assert_eq!(beside.left("i-1"), Change::None);
 }
@@ -74,12 +66,9 @@
 fn same_identity_starts_again_after_leaving() {
     let mut beside = accepting();
     beside.left("i-1");
-    beside.report(NOW, report("i-1", 5, 7, false));
+    beside.report(report("i-1", 5, 7, false));
     assert_eq!(beside.standing(), Standing::Leaving);
-    assert_eq!(
-        beside.report(NOW, report("i-1", 6, 1, false)),
-        Change::Restarted
-    );
+    assert_eq!(beside.report(report("i-1", 6, 1, false)), Change::Restarted);
     assert_eq!(beside.standing(), Standing::Accepting);
 }
 
@@ -89,7 +78,7 @@
     let mut beside = accepting();
     assert_eq!(beside.refused(), Change::Standing);
     assert_eq!(beside.standing(), Standing::Down);
-    beside.report(NOW, report("i-1", 5, 5, false));
+    beside.report(report("i-1", 5, 5, false));
     assert_eq!(beside.standing(), Standing::Accepting);
     beside.left("i-1");
     assert_eq!(beside.refused(), Change::None);
@@ -104,18 +93,15 @@
     beside.found("i-1", "ledger", 4);
     assert_eq!(beside.standing(), Standing::Accepting);
     // Its report brings the slots and is no new start.
-    assert_eq!(
-        beside.report(NOW, report("i-1", 5, 9, false)),
-        Change::Standing
-    );
+    assert_eq!(beside.report(report("i-1", 5, 9, false)), Change::Standing);
     assert_eq!(beside.latest().unwrap().slots, 13);
-    assert_eq!(beside.report(NOW, report("i-1", 5, 8, true)), Change::None);
+    assert_eq!(beside.report(report("i-1", 5, 8, true)), Change::None);
     assert_eq!(beside.found("i-1", "ledger", 4), Change::None);
     let mut beside = Beside::default();
     beside.found("i-1", "ledger", 4);
-    beside.report(NOW, report("i-1", 5, 9, true));
+    beside.report(report("i-1", 5, 9, true));
     assert_eq!(beside.standing(), Standing::Leaving);
     // A report from before does not undo what was reported, and a late one of another start is placed by its time.
-    beside.report(NOW, report("i-0", 4, 99, false));
+    beside.report(report("i-0", 4, 99, false));
     assert_eq!(beside.standing(), Standing::Leaving);
 }
--- a/hitch-mesh/tests/it/fleet.rs
+++ b/hitch-mesh/tests/it/fleet.rs
@@ -226,7 +226,6 @@
                 repeats: Repeats {
                     ratio: 0.2,
                     slack: 20.0,
-                    window: Duration::from_secs(10),
                 },
             },
             names: names(),
@@ -252,7 +251,6 @@
             slots: 4,
             leaving,
             sequence,
-            cold_left: Duration::ZERO,
             born_ms: 5,
         });
     }
