Tell the readers of other zones of versions from the store

Ruled out: shorter reads (each costs a call at every reader) and more readers a zone (they can be silent together).

--- a/hitch-mesh/src/config.rs
+++ b/hitch-mesh/src/config.rs
@@ -27,6 +27,11 @@
 /// Nodes of the zone that each node tells of a new version. With 4, a zone of 1,000 nodes is reached in 5 steps, and the
 /// slowest link carries four configurations.
 const FAN_OUT: usize = 4;
+/// Nodes of an availability zone that follow the store for the others. The second one covers the time until the loss of
+/// the first is noticed.
+pub(crate) const READERS_PER_ZONE: usize = 2;
+/// Source of a configuration that this node read itself.
+pub(crate) const STORE: &str = "store";
 /// Longest configuration that is taken from a peer, in bytes. The store's records are shorter.
 const MAX_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -56,7 +61,7 @@
         true => drop(tokio::spawn(execute::find(mesh.clone()))),
         false => execute::reconfigure(mesh),
     }
-    tell(mesh, version);
+    tell(mesh, version, source == STORE);
     mesh.metrics.version.set(version as i64);
     slog::info!(mesh.reporter.log(), "config: in force"; "version" => version, "routes" => routes,
         "source" => source);
@@ -96,11 +101,16 @@
     Some(packed.clone())
 }
 
-/// Tells the children of this node in its zone of the configuration in force.
-fn tell(mesh: &Mesh, version: u64) {
+/// Tells the children of this node in its zone of the configuration in force, and the readers of the other zones when it
+/// came from the store: a store that is silent to all readers of a zone keeps them waiting for seconds.
+fn tell(mesh: &Mesh, version: u64, is_from_store: bool) {
     let own = mesh.own_address();
-    let children = lock(&mesh.members).children(&own, &mesh.settings.zone, FAN_OUT);
-    for address in children {
+    let zone = &mesh.settings.zone;
+    let mut told = lock(&mesh.members).children(&own, zone, FAN_OUT);
+    if is_from_store {
+        told.extend(lock(&mesh.members).readers_elsewhere(zone, READERS_PER_ZONE));
+    }
+    for address in told {
         if let Some(link) = mesh.try_link(&address) {
             link.send(Kind::Notice(Notice {
                 version,
--- a/hitch-mesh/src/members.rs
+++ b/hitch-mesh/src/members.rs
@@ -227,6 +227,40 @@
         children.map(|(_, address)| (*address).into()).collect()
     }
 
+    /// Returns the members that read the store for the other zones, as far as this node sees: `readers` of each.
+    ///
+    /// ```
+    /// let members = hitch_mesh::members::Members::default();
+    /// assert!(members.readers_elsewhere("a", 2).is_empty());
+    /// ```
+    pub fn readers_elsewhere(&self, zone: &str, readers: usize) -> Vec<Box<str>> {
+        let mut by_zone: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
+        for (address, entry) in &self.by_address {
+            if !entry.connected || *entry.member.zone == *zone {
+                continue;
+            }
+            let rank = (xxh3_64(address.as_bytes()), &**address);
+            by_zone.entry(&entry.member.zone).or_default().push(rank);
+        }
+        let mut found = Vec::new();
+        for mut members in by_zone.into_values() {
+            members.sort_unstable();
+            let first = members.into_iter().take(readers);
+            found.extend(first.map(|(_, address)| address.into()));
+        }
+        found
+    }
+
+    /// Returns whether a member is in a zone, as far as this node knows.
+    ///
+    /// ```
+    /// assert!(!hitch_mesh::members::Members::default().is_in("10.0.0.1:7600", "a"));
+    /// ```
+    pub fn is_in(&self, address: &str, zone: &str) -> bool {
+        let entry = self.by_address.get(address);
+        entry.is_some_and(|entry| *entry.member.zone == *zone)
+    }
+
     /// Returns how many members are connected.
     ///
     /// ```
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -135,7 +135,13 @@
         Kind::Notice(notice) => {
             // Without a connection to the node, its version is learned from the next answer.
             if let Some(link) = mesh.try_link(&notice.address) {
-                config::note_version(mesh, notice.version, &link, Duration::ZERO);
+                // Another zone only speaks up in case the store is silent to this one.
+                let is_near = lock(&mesh.members).is_in(&notice.address, &mesh.settings.zone);
+                let head_start = match is_near {
+                    true => Duration::ZERO,
+                    false => config::HEAD_START,
+                };
+                config::note_version(mesh, notice.version, &link, head_start);
             }
             None
         }
--- a/hitch-mesh/src/sync.rs
+++ b/hitch-mesh/src/sync.rs
@@ -23,9 +23,6 @@
 /// Least time between the ends of two reads. Versions that follow each other faster are read together; it stays far
 /// below the time within which a version has to be in force.
 const COALESCE: Duration = Duration::from_millis(500);
-/// Nodes of an availability zone that follow the store for the others. The second one covers the time until the loss of
-/// the first is noticed.
-const READERS_PER_ZONE: usize = 2;
 /// First pause after an operation failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after operations that failed; after an outage, news is read within this time.
@@ -78,7 +75,7 @@
     loop {
         let changed = mesh.readers_changed.notified();
         let own = mesh.own_address();
-        if lock(&mesh.members).is_reader(&own, &mesh.settings.zone, READERS_PER_ZONE) {
+        if lock(&mesh.members).is_reader(&own, &mesh.settings.zone, config::READERS_PER_ZONE) {
             return waited;
         }
         waited = true;
@@ -104,7 +101,7 @@
         value: Some(data), ..
     }) = newest
     {
-        config::apply(mesh, data, "store");
+        config::apply(mesh, data, config::STORE);
     }
 }
 
--- a/hitch-mesh/tests/it/members.rs
+++ b/hitch-mesh/tests/it/members.rs
@@ -117,3 +117,29 @@
     }
     assert_eq!(told.len(), all.len());
 }
+
+/// Guards against a zone whose readers the store does not answer, while the readers of other zones have the version.
+#[test]
+fn readers_of_every_other_zone_are_told() {
+    let mut members = connected(&["a", "b", "c", "d"]);
+    for address in ["e", "f", "g", "h"] {
+        let member = Member {
+            zone: "y".into(),
+            ..member(address, 1)
+        };
+        members.learn(Duration::ZERO, member.clone());
+        members.connected(address, member);
+    }
+    let told = members.readers_elsewhere("x", 2);
+    assert_eq!(told.len(), 4);
+    for own in ["a", "b", "c", "d"] {
+        let is_told = told.iter().any(|address| **address == *own);
+        let others: Vec<&str> = ["a", "b", "c", "d"]
+            .into_iter()
+            .filter(|a| *a != own)
+            .collect();
+        assert_eq!(is_told, connected(&others).is_reader(own, "z", 2));
+    }
+    assert_eq!(members.readers_elsewhere("z", 2).len(), 2);
+    assert!(members.is_in("e", "y") && !members.is_in("e", "z"));
+}
