Read a configuration and its version together before it is packed for peers

Read-through of the whole change. packed_newer_than took the bytes and the version one after the other: a version that came into force in between was cached under its number with the older bytes, and every peer that asked for it got those. It now reads both under the lock that spans the swap.

Connections between nodes that broke dropped their error; they now write a line, bounded like the others. The pool split backend servers by zone in two places, now in one. No decision changes.

--- a/hitch-mesh/src/config.rs
+++ b/hitch-mesh/src/config.rs
@@ -85,8 +85,11 @@
 
 /// Returns the configuration in force for a peer that has an older one.
 pub(crate) fn packed_newer_than(mesh: &Mesh, have: u64) -> Option<RawConfig> {
-    let data = lock(&mesh.raw_config).clone()?;
-    let version = mesh.version();
+    let (data, version) = {
+        // Under the lock that spans the swap, so that the bytes are those of the version.
+        let raw = lock(&mesh.raw_config);
+        (raw.clone()?, mesh.version())
+    };
     if version <= have {
         return None;
     }
--- a/hitch-mesh/src/dial.rs
+++ b/hitch-mesh/src/dial.rs
@@ -76,7 +76,6 @@
     let taken = Arc::new(AtomicU64::new(0));
     let link = Arc::new(Link::new(tx, taken.clone(), mesh.now()));
     introduce(&mesh, &link);
-    let mut stated = false;
     let (stated_tx, stated_rx) = tokio::sync::oneshot::channel();
     let mut stated_tx = Some(stated_tx);
     let read = link::read(reader, |frame| {
@@ -101,21 +100,19 @@
         };
         tokio::pin!(first);
         tokio::select! {
-            _ = &mut read => {}
+            ended = &mut read => mesh.connection_ended(ended),
             () = &mut write => {}
             () = &mut first => {}
         }
     }
     link.close();
-    {
+    let was_connected = {
         let mut links = lock(&mesh.links);
-        if links.get(&address).is_some_and(|l| Arc::ptr_eq(l, &link)) {
-            links.remove(&address);
-            stated = true;
-        }
-    }
+        let is_own = links.get(&address).is_some_and(|l| Arc::ptr_eq(l, &link));
+        is_own && links.remove(&address).is_some()
+    };
     mesh.remove_from_pools(&address);
-    match stated {
+    match was_connected {
         true => {
             slog::info!(mesh.reporter.log(), "dial: lost a node"; "peer" => %address);
             lock(&mesh.members).lost(mesh.now(), &address);
--- a/hitch-mesh/src/mesh.rs
+++ b/hitch-mesh/src/mesh.rs
@@ -353,6 +353,16 @@
         self.entered.load(Ordering::Relaxed) + self.running.load(Ordering::Relaxed)
     }
 
+    /// Logs why a connection to or of another node ended, unless it was closed in order.
+    pub(crate) fn connection_ended(&self, ended: Result<(), Box<str>>) {
+        if let Err(reason) = ended
+            && let Some(left_out) = self.reporter.admit("peer connection", self.now())
+        {
+            slog::info!(self.reporter.log(), "peer: a connection broke"; "reason" => %reason,
+                "left_out" => left_out);
+        }
+    }
+
     pub(crate) fn own_address(&self) -> Box<str> {
         self.settings.peers.to_string().into()
     }
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -67,7 +67,10 @@
     tokio::pin!(read, write);
     loop {
         tokio::select! {
-            _ = &mut read => break,
+            ended = &mut read => {
+                mesh.connection_ended(ended);
+                break;
+            }
             () = &mut write => break,
             changed = state.changed() => {
                 if changed.is_err() {
--- a/hitch-route/src/pool.rs
+++ b/hitch-route/src/pool.rs
@@ -221,10 +221,7 @@
     /// assert!(pool.pick(Duration::ZERO, &mut rand::rng(), &[]).is_none());
     /// ```
     pub fn pick(&self, now: Duration, rng: &mut impl Rng, exclude: &[BackendKey]) -> Option<Pick> {
-        let usable = self.usable(now, exclude);
-        let (near, far): (Vec<_>, Vec<_>) = usable
-            .into_iter()
-            .partition(|k| self.entries[*k].backend.zone == self.own_zone);
+        let (near, far) = self.near_and_far(now, exclude);
         let near = self.better_of_two(now, rng, &near);
         let far = self.better_of_two(now, rng, &far);
         let key = match (near, far) {
@@ -252,10 +249,7 @@
         exclude: &[BackendKey],
         patience: Duration,
     ) -> Option<Pick> {
-        let usable = self.usable(now, exclude);
-        let (near, far): (Vec<_>, Vec<_>) = usable
-            .into_iter()
-            .partition(|k| self.entries[*k].backend.zone == self.own_zone);
+        let (near, far) = self.near_and_far(now, exclude);
         let near = self.shortest(now, rng, &near);
         let far = self.shortest(now, rng, &far);
         let key = match (near, far) {
@@ -406,6 +400,18 @@
         entry.failure_rate = OUTLIER_FAILURE_RATE - FAILURE_WEIGHT / 4.0;
     }
 
+    /// Returns the usable backend servers of the own zone and of the others.
+    fn near_and_far(
+        &self,
+        now: Duration,
+        exclude: &[BackendKey],
+    ) -> (Vec<BackendKey>, Vec<BackendKey>) {
+        let usable = self.usable(now, exclude);
+        usable
+            .into_iter()
+            .partition(|k| self.entries[*k].backend.zone == self.own_zone)
+    }
+
     /// Lists the backend servers that may be chosen. At most half of the service is left out as
     /// outliers; beyond that the ones ejected longest ago come back first.
     fn usable(&self, now: Duration, exclude: &[BackendKey]) -> Vec<BackendKey> {
