--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,10 +7,11 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use crashes::Trouble;
+
 mod bodies;
 mod crashes;
 mod cut;
-mod foreign;
 mod http;
 mod server;
 mod stopped;
@@ -38,10 +39,10 @@
     });
     let dir = PathBuf::from(rest.first().map_or(".", String::as_str));
     let result = match &**verb {
-        "crashes" => crashes::run(dir),
+        "late" => crashes::run(dir, Trouble::Late),
+        "roll" => crashes::run(dir, Trouble::Roll),
         "stopped" => stopped::run(dir),
         "cut" => cut::run(dir),
-        "foreign" => foreign::run(dir),
         "bodies" => bodies::run(dir),
         _ => return ExitCode::from(2),
     };
