--- a/hitch-mesh/src/arrival.rs
+++ b/hitch-mesh/src/arrival.rs
@@ -42,6 +42,10 @@
 /// ```
 pub async fn handle(mesh: &Arc<Mesh>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let _in_flight = InFlightGuard::new(&mesh.requests_in_flight);
+    let mut presence = CallerPresence {
+        mesh,
+        is_answered: false,
+    };
     let arrived = mesh.now();
     let id = req
         .headers()
@@ -65,9 +69,24 @@
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
+    presence.is_answered = true;
     res
 }
 
+/// Counts the request as left by its caller if it is dropped without an answer.
+struct CallerPresence<'a> {
+    mesh: &'a Mesh,
+    is_answered: bool,
+}
+
+impl Drop for CallerPresence<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            count_request(self.mesh, "left", "");
+        }
+    }
+}
+
 /// A request that has been routed to a service.
 pub(crate) struct RoutedRequest {
     table: Arc<Table>,
--- a/hitch-mesh/src/attempts.rs
+++ b/hitch-mesh/src/attempts.rs
@@ -15,12 +15,12 @@
 use hitch_route::pool;
 use hitch_route::pool::Finished;
 use hitch_route::pool::Pick;
-use tokio::sync::Notify;
 use tokio::task::JoinError;
 use tokio::task::JoinHandle;
 
 use crate::arrival::RETRY_AFTER_NO_BACKEND;
 use crate::arrival::RoutedRequest;
+use crate::cancel::CancelSignal;
 use crate::execute;
 use crate::frame::Answer;
 use crate::frame::Call;
@@ -263,33 +263,32 @@
 }
 
 /// A call to the local backend server. Dropping it cancels the call.
-struct LocalCall {
+struct LocalCall<'a> {
+    mesh: &'a Mesh,
     task: JoinHandle<Answer>,
-    cancelled: Arc<Notify>,
+    cancel: Arc<CancelSignal>,
 }
 
-impl Drop for LocalCall {
+impl Drop for LocalCall<'_> {
     fn drop(&mut self) {
-        self.cancelled.notify_one();
+        self.cancel.cancel(self.mesh.now());
     }
 }
 
 async fn run_locally(mesh: &Arc<Mesh>, routed: &RoutedRequest, now: Duration) -> Outcome {
     let call = to_call(routed, now);
-    let cancelled = Arc::new(Notify::new());
-    let process = mesh.clone();
-    let (mesh, notified) = (mesh.clone(), cancelled.clone());
-    let task =
-        tokio::spawn(async move { execute::run(&mesh, &call, now, notified.notified()).await });
-    let mut local = LocalCall { task, cancelled };
+    let cancel = Arc::new(CancelSignal::default());
+    let (process, signal) = (mesh.clone(), cancel.clone());
+    let task = tokio::spawn(async move { execute::run(&process, &call, now, &signal).await });
+    let mut local = LocalCall { mesh, task, cancel };
     let to_outcome = |end: Result<Answer, JoinError>| match end {
         Ok(answer) => Outcome::from_answer(answer),
         Err(err) => Outcome::unknown(&format!("the call stopped: {err}")),
     };
     tokio::select! {
         end = &mut local.task => to_outcome(end),
-        () = process.await_termination() => {
-            local.cancelled.notify_one();
+        () = mesh.await_termination() => {
+            local.cancel.cancel(mesh.now());
             await_cancelled((&mut local.task).map(to_outcome)).await
         }
     }
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -32,6 +33,7 @@
 
 use crate::backend::Availability;
 use crate::backend::Report;
+use crate::cancel::CancelSignal;
 use crate::frame::Answer;
 use crate::frame::Call;
 use crate::frame::Crash;
@@ -41,6 +43,7 @@
 use crate::mesh::InFlightGuard;
 use crate::mesh::Mesh;
 use crate::mesh::Server;
+use crate::metrics::Cancelled;
 use crate::metrics::Ended;
 use crate::metrics::Step;
 use crate::outcome::Outcome;
@@ -178,16 +181,18 @@
 
 /// Runs a call on the local backend server and returns its outcome.
 ///
-/// `cancelled` resolves when the caller has left or the process is about to exit. A call that is still queued is then
+/// `cancel` is the signal that the caller has left or the process is about to exit. A call that is still queued is then
 /// dropped; one that runs is abandoned if it is idempotent.
 pub(crate) async fn run(
     mesh: &Arc<Mesh>,
     call: &Call,
     arrived: Duration,
-    cancelled: impl Future<Output = ()>,
+    cancel: &CancelSignal,
 ) -> Answer {
     let _in_flight = InFlightGuard::new(&mesh.calls_in_flight);
-    let outcome = run_inner(mesh, call, arrived, cancelled).await;
+    let progress = Progress::default();
+    let outcome = run_inner(mesh, call, arrived, cancel, &progress).await;
+    record_cancellation(mesh, call, cancel, &progress);
     let (label, reason) = match &outcome {
         Outcome::Answered(_) => ("answered", String::new()),
         Outcome::NotRun { reason, .. } => ("not run", reason.to_string()),
@@ -231,11 +236,58 @@
     answer
 }
 
+/// Times at which a call entered the steps after the queue, as time since the start of the process.
+#[derive(Debug, Default)]
+struct Progress {
+    admitted: OnceLock<Duration>,
+    crash_checked: OnceLock<Duration>,
+    sent: OnceLock<Duration>,
+}
+
+impl Progress {
+    /// Returns the step in which the call was at a time.
+    fn step_at(&self, time: Duration) -> &'static str {
+        let entered = |entered: &OnceLock<Duration>| entered.get().is_some_and(|at| *at <= time);
+        match (
+            entered(&self.sent),
+            entered(&self.crash_checked),
+            entered(&self.admitted),
+        ) {
+            (true, _, _) => "backend",
+            (_, true, _) => "connection",
+            (_, _, true) => "crash check",
+            _ => "queue",
+        }
+    }
+}
+
+/// Counts a cancelled call by the step in which it was, and logs one that the backend server got after that.
+fn record_cancellation(mesh: &Mesh, call: &Call, cancel: &CancelSignal, progress: &Progress) {
+    let Some(cancelled_at) = cancel.cancelled_at() else {
+        return;
+    };
+    let step = progress.step_at(cancelled_at);
+    let sent = progress.sent.get().filter(|sent| **sent > cancelled_at);
+    let labels = Cancelled {
+        step,
+        sent_later: sent.is_some(),
+    };
+    mesh.metrics.cancelled.get_or_create(&labels).inc();
+    if let Some(sent) = sent
+        && let Some(suppressed) = mesh.reporter.try_write("sent after cancel", mesh.now())
+    {
+        slog::warn!(mesh.reporter.log(), "backend: call sent although its caller had left";
+            "request" => %call.request_id, "idempotent" => call.idempotent, "step" => step,
+            "late_ms" => sent.saturating_sub(cancelled_at).as_millis() as u64, "suppressed" => suppressed);
+    }
+}
+
 async fn run_inner(
     mesh: &Arc<Mesh>,
     call: &Call,
     arrived: Duration,
-    cancelled: impl Future<Output = ()>,
+    cancel: &CancelSignal,
+    progress: &Progress,
 ) -> Outcome {
     if *call.service != *mesh.settings.service {
         return Outcome::not_run("the backend server is of another service", Duration::ZERO);
@@ -245,7 +297,7 @@
         _ => return Outcome::not_run("the backend server takes no calls", RETRY_AFTER),
     };
     let deadline = arrived + Duration::from_millis(call.left_ms.into());
-    tokio::pin!(cancelled);
+    let mut cancelled = std::pin::pin!(cancel.cancelled());
     let rank = RANKS[rank_of(call.priority)];
     let permit = tokio::select! {
         permit = server.gate.acquire(rank, deadline) => permit,
@@ -263,6 +315,7 @@
         step,
     };
     let started = mesh.now();
+    progress.admitted.get_or_init(|| started);
     let waited = started.saturating_sub(arrived);
     mesh.metrics
         .latency
@@ -272,6 +325,7 @@
     if let Err(outcome) = await_crash_check(mesh, fingerprint, deadline).await {
         return outcome;
     }
+    progress.crash_checked.get_or_init(|| mesh.now());
     // The availability may have changed while the call was queued.
     let remaining = deadline.saturating_sub(mesh.now() + ANSWER_MARGIN);
     if !accepts_calls(mesh) || remaining < MIN_REMAINING {
@@ -288,7 +342,9 @@
     // The backend server answers by itself when its time has elapsed; the margin is for that answer.
     let until = Instant::now() + remaining + ANSWER_MARGIN;
     let on_sent = || {
-        let elapsed = mesh.now().saturating_sub(started);
+        let now = mesh.now();
+        progress.sent.get_or_init(|| now);
+        let elapsed = now.saturating_sub(started);
         mesh.metrics
             .latency
             .get_or_create(&step("hand-over"))
--- a/hitch-mesh/src/lib.rs
+++ b/hitch-mesh/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod arrival;
 mod attempts;
 pub mod backend;
+mod cancel;
 mod config;
 pub mod delay;
 mod dial;
--- a/hitch-mesh/src/metrics.rs
+++ b/hitch-mesh/src/metrics.rs
@@ -15,12 +15,22 @@
 /// Labels of a request's or call's outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Ended {
-    /// Outcome. Requests: served, refused, unknown or late. Calls: answered, not run or unknown.
+    /// Outcome. Requests: served, refused, unknown, late or left (by the caller, without an answer). Calls: answered, not run or unknown.
     pub outcome: &'static str,
     /// Reason of the outcome, or empty.
     pub reason: String,
 }
 
+/// Labels of calls whose caller left, or that were cancelled because the process exits.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Cancelled {
+    /// Step in which the call was: `queue`, `crash check`, `connection` (wait for a connection to the backend server) or
+    /// `backend` (it had been sent).
+    pub step: &'static str,
+    /// Whether the call was sent to the backend server after that.
+    pub sent_later: bool,
+}
+
 /// Labels of a latency.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Step {
@@ -64,6 +74,8 @@
     pub requests: Family<Ended, Counter>,
     /// Calls for the local backend server, by outcome.
     pub calls: Family<Ended, Counter>,
+    /// Calls for the local backend server that were cancelled, by the step in which they were.
+    pub cancelled: Family<Cancelled, Counter>,
     /// Latency in seconds, by step and rank.
     pub latency: Family<Step, Histogram>,
     /// Operations of the store, by result.
@@ -91,6 +103,7 @@
         let mut registry = Registry::with_prefix("hitch");
         let requests = Family::default();
         let calls = Family::default();
+        let cancelled = Family::default();
         let latency =
             Family::new_with_constructor((|| Histogram::new(LATENCY_BUCKETS)) as fn() -> Histogram);
         let store = Family::default();
@@ -98,6 +111,11 @@
         let (config_age_seconds, in_flight, retry_budget, reads) = Default::default();
         registry.register("requests", "Requests that entered here", requests.clone());
         registry.register("calls", "Calls for the backend server", calls.clone());
+        registry.register(
+            "calls_cancelled",
+            "Calls whose caller left",
+            Family::clone(&cancelled),
+        );
         registry.register("latency_seconds", "Latency", latency.clone());
         registry.register("store_calls", "Operations of the store", store.clone());
         registry.register(
@@ -124,6 +142,7 @@
             registry,
             requests,
             calls,
+            cancelled,
             latency,
             store,
             retries,
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -13,9 +13,9 @@
 use hitch_retry::suspicion::Fingerprint;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::cancel::CancelSignal;
 use crate::config;
 use crate::delay::DelayEstimator;
 use crate::execute;
@@ -36,8 +36,8 @@
 /// Time for which introductions are collected before they are passed on.
 const INTRODUCTION_DELAY: Duration = Duration::from_millis(200);
 
-/// Calls of a connection that have not ended, by number. Notifying the value cancels the call.
-type RunningCalls = Arc<Mutex<BTreeMap<u64, Arc<Notify>>>>;
+/// Calls of a connection that have not ended, by number.
+type RunningCalls = Arc<Mutex<BTreeMap<u64, Arc<CancelSignal>>>>;
 
 /// Accepts connections for as long as the process runs.
 pub(crate) async fn serve(mesh: Arc<Mesh>, listener: TcpListener) {
@@ -87,8 +87,8 @@
         }
     }
     // No answer can reach the peer any more. Calls that may run only once continue, the others are cancelled.
-    for cancelled in lock(&running).values() {
-        cancelled.notify_one();
+    for cancel in lock(&running).values() {
+        cancel.cancel(mesh.now());
     }
 }
 
@@ -121,8 +121,8 @@
             None
         }
         Kind::Cancel(cancel) => {
-            if let Some(cancelled) = lock(running).get(&cancel.number) {
-                cancelled.notify_one();
+            if let Some(signal) = lock(running).get(&cancel.number) {
+                signal.cancel(mesh.now());
             }
             None
         }
@@ -170,11 +170,11 @@
     tx: &FrameSender,
     running: &RunningCalls,
 ) {
-    let cancelled = Arc::new(Notify::new());
-    lock(running).insert(call.number, cancelled.clone());
+    let cancel = Arc::new(CancelSignal::default());
+    lock(running).insert(call.number, cancel.clone());
     let (mesh, tx, running) = (mesh.clone(), tx.clone(), running.clone());
     tokio::spawn(async move {
-        let answer = execute::run(&mesh, &call, arrived, cancelled.notified()).await;
+        let answer = execute::run(&mesh, &call, arrived, &cancel).await;
         lock(&running).remove(&call.number);
         // Sending fails only if the connection has ended; then nobody waits for the answer.
         let _ = tx.send(Kind::Answer(answer));
