--- a/hitch-mesh/tests/it/fleet.rs
+++ b/hitch-mesh/tests/it/fleet.rs
@@ -315,14 +315,29 @@
     /// Sends the node a report of its backend server; the node then sends calls to it, unless it is draining.
     pub fn report(&self, sequence: u64, draining: bool) {
         self.mesh.handle_report(Report {
+            draining,
+            ..self.new_report(sequence)
+        });
+    }
+
+    /// Sends the node a report of its backend server that states another number of slots.
+    pub fn report_slots(&self, sequence: u64, slots: u32) {
+        self.mesh.handle_report(Report {
+            slots,
+            ..self.new_report(sequence)
+        });
+    }
+
+    fn new_report(&self, sequence: u64) -> Report {
+        Report {
             id: "i-1".into(),
             service: SERVICE.into(),
             address: self.mesh.settings.backend.to_string().into(),
             slots: 4,
-            draining,
+            draining: false,
             sequence,
             started_at_ms: 5,
-        });
+        }
     }
 
     /// Sends the signal to stop.
--- a/hitch-mesh/tests/it/main.rs
+++ b/hitch-mesh/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of mesh nodes.
 mod admin;
 mod backend;
+mod cancel;
 mod delay;
 mod fleet;
 mod forwarding;
