--- a/hitch-edge/src/backend.rs
+++ b/hitch-edge/src/backend.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -187,7 +189,9 @@
     peer: Box<str>,
     options: Options,
     buffers: Buffers,
+    /// One for each connection that may be opened beside those in use.
     permits: Semaphore,
+    max_connections: AtomicUsize,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
@@ -211,6 +215,7 @@
         let shared = Shared {
             peer: peer.into(),
             permits: Semaphore::new(options.max_connections),
+            max_connections: AtomicUsize::new(options.max_connections),
             options,
             buffers: Buffers::new(MAX_ANSWER_BYTES, MAX_BUFFERED_BYTES),
             idle: Mutex::new(Vec::new()),
@@ -220,6 +225,23 @@
         }
     }
 
+    /// Raises the maximum number of connections in use at the same time to `max_connections`. A smaller number changes
+    /// nothing.
+    ///
+    /// ```
+    /// let options = hitch_edge::backend::Options::new(4, Default::default());
+    /// hitch_edge::Backend::at("127.0.0.1:1", options).raise_max_connections(18);
+    /// ```
+    pub fn raise_max_connections(&self, max_connections: usize) {
+        let before = self
+            .shared
+            .max_connections
+            .fetch_max(max_connections, Ordering::Relaxed);
+        self.shared
+            .permits
+            .add_permits(max_connections.saturating_sub(before));
+    }
+
     /// Returns the number of idle connections.
     ///
     /// ```
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -102,9 +102,12 @@
         connections: report.slots,
     };
     let ranks = ranks(mesh);
+    let max_connections = report.slots as usize + SPARE_CONNECTIONS;
     if let Some(server) = mesh.server.load_full()
         && server.id == report.id
     {
+        // The number of slots may have been assumed until now. With fewer slots, the queue keeps connections unused.
+        server.connections.raise_max_connections(max_connections);
         server.gate.reconfigure(&service, &ranks);
         return;
     }
@@ -119,7 +122,7 @@
     };
     let gate = Gate::new(mesh.time, &service, &ranks, options);
     let options = backend::Options {
-        max_connections: report.slots as usize + SPARE_CONNECTIONS,
+        max_connections,
         connect_timeout: CONNECT_TIMEOUT,
         call_id_header: mesh.settings.header_names.request_id.clone(),
         is_call_id_required: true,
--- a/hitch-mesh/tests/it/forwarding.rs
+++ b/hitch-mesh/tests/it/forwarding.rs
@@ -272,3 +272,22 @@
         assert!(received.iter().all(|(id, _)| id != "r-4"));
     }
 }
+
+/// Guards against a node that restarted beside its backend server and keeps the connections of the slots assumed then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_slots_reported_after_a_discovery_run_at_once() {
+    const SLOTS: u32 = 40;
+    let (_memory, nodes) = fleet(&["a"]).await;
+    nodes[0].report_slots(10, SLOTS);
+    *nodes[0].server.behavior.lock().unwrap() = Behavior::Answer(Duration::from_millis(1_000));
+    let ids: Vec<String> = (0..SLOTS).map(|i| format!("r-{i}")).collect();
+    let calls = ids.iter().map(|id| nodes[0].call("PUT", "/long/7", id));
+    let in_time =
+        tokio::time::timeout(Duration::from_millis(700), futures::future::join_all(calls));
+    assert!(
+        in_time.await.is_err(),
+        "calls end before their work is done"
+    );
+    let received = nodes[0].server.received.lock().unwrap().len();
+    assert_eq!(received, SLOTS as usize);
+}
