--- a/hitch-mesh/src/dial.rs
+++ b/hitch-mesh/src/dial.rs
@@ -1,7 +1,6 @@
 //! Connections that this node opens to the other members, and the detection of unresponsive peers.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -97,8 +96,7 @@
     }
     let (reader, writer) = stream.into_split();
     let (tx, rx) = mpsc::unbounded_channel();
-    let last_written = Arc::new(AtomicU64::new(0));
-    let link = Arc::new(Link::new(tx, last_written.clone(), mesh.now()));
+    let link = Arc::new(Link::new(tx, mesh.now()));
     announce(&mesh, &link);
     let (first_state_tx, first_state_rx) = tokio::sync::oneshot::channel();
     let mut first_state_tx = Some(first_state_tx);
@@ -113,7 +111,7 @@
         on_frame(&mesh, &address, &link, frame)
     });
     {
-        let write = link::write(rx, writer, last_written);
+        let write = link::write(rx, writer, |call| link.begin_writing(call));
         tokio::pin!(read, write);
         let state_timeout = async {
             match tokio::time::timeout(STATE_TIMEOUT, first_state_rx).await {
--- a/hitch-mesh/src/link.rs
+++ b/hitch-mesh/src/link.rs
@@ -48,8 +48,6 @@
 pub(crate) struct Link {
     tx: FrameSender,
     calls: Mutex<Calls>,
-    // Number of the last call that the writer took from the channel; later ones were not sent.
-    last_written: Arc<AtomicU64>,
     closed: AtomicBool,
     // Time of the last receipt of a frame, in microseconds since the start of the process.
     last_received_us: AtomicU64,
@@ -67,6 +65,8 @@
 #[derive(Debug, Default)]
 struct Calls {
     last_number: u64,
+    // Number of the last call that the writer took from the channel; later ones were not sent.
+    last_written: u64,
     waiting: BTreeMap<u64, WaitingCall>,
 }
 
@@ -86,11 +86,10 @@
 }
 
 impl Link {
-    pub(crate) fn new(tx: FrameSender, last_written: Arc<AtomicU64>, now: Duration) -> Link {
+    pub(crate) fn new(tx: FrameSender, now: Duration) -> Link {
         Link {
             tx,
             calls: Mutex::new(Calls::default()),
-            last_written,
             closed: AtomicBool::new(false),
             last_received_us: AtomicU64::new(now.as_micros() as u64),
             state: Mutex::new(State::default()),
@@ -234,11 +233,22 @@
         }
     }
 
+    /// Returns whether a call is still to be written: its caller may have left while it waited for the writer. From then on
+    /// the call may run.
+    pub(crate) fn begin_writing(&self, call: &Call) -> bool {
+        let mut calls = lock(&self.calls);
+        if !calls.waiting.contains_key(&call.number) {
+            return false;
+        }
+        calls.last_written = call.number;
+        true
+    }
+
     /// Ends all calls on the link. Those that the writer has not taken were not run.
     pub(crate) fn close(&self) {
         let mut calls = lock(&self.calls);
         self.closed.store(true, Ordering::Relaxed);
-        let last_written = self.last_written.load(Ordering::Acquire);
+        let last_written = calls.last_written;
         for (number, waiting) in std::mem::take(&mut calls.waiting) {
             let outcome = match number > last_written {
                 true => Outcome::not_run("the connection to the node ended", Duration::ZERO),
@@ -277,22 +287,22 @@
 
 /// Writes the frames that are sent to `rx` until all senders are gone or the connection fails.
 ///
-/// `last_written` is set to the number of each call before any byte of it is written.
+/// `begin_writing` is asked before any byte of a call is written; a call for which it returns false is left out.
 pub(crate) async fn write(
     mut rx: mpsc::UnboundedReceiver<Kind>,
     mut stream: OwnedWriteHalf,
-    last_written: Arc<AtomicU64>,
+    begin_writing: impl Fn(&Call) -> bool,
 ) {
     let mut buf = BytesMut::new();
     let mut headers = header_table::Encoder::default();
     while let Some(first) = rx.recv().await {
         let mut next = Some(first);
         while let Some(mut kind) = next {
-            if let Kind::Call(call) = &kind {
-                last_written.store(call.number, Ordering::Release);
+            let is_withdrawn = matches!(&kind, Kind::Call(call) if !begin_writing(call));
+            if !is_withdrawn {
+                headers.encode(&mut kind);
+                frame::encode(kind, &mut buf);
             }
-            headers.encode(&mut kind);
-            frame::encode(kind, &mut buf);
             next = match buf.len() < MAX_BATCH_BYTES {
                 true => rx.try_recv().ok(),
                 false => None,
@@ -338,3 +348,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use hitch_gate::shards::lock;
@@ -69,7 +68,7 @@
         on_frame(&mesh, frame.kind, &tx, &running, &mut delays);
         true
     });
-    let write = link::write(rx, writer, Arc::new(AtomicU64::new(0)));
+    let write = link::write(rx, writer, |_| true);
     tokio::pin!(read, write);
     loop {
         tokio::select! {
