--- a/hitch-edge/src/lib.rs
+++ b/hitch-edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod header;
 mod metered;
 pub mod problem;
+pub mod watched;
 
 pub use backend::Backend;
 pub use problem::Problem;
--- a/hitch-edge/tests/it/main.rs
+++ b/hitch-edge/tests/it/main.rs
@@ -2,3 +2,4 @@
 mod backend;
 mod caller;
 mod endless;
+mod watched;
--- a/hitch-mesh/src/run.rs
+++ b/hitch-mesh/src/run.rs
@@ -4,9 +4,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hitch_admin::recorder::Subject;
+use hitch_edge::watched::Watched;
 use hitch_event::Kind;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +24,7 @@
 use crate::admin;
 use crate::arrival;
 use crate::dial;
+use crate::mesh::InFlightGuard;
 use crate::mesh::Mesh;
 use crate::peer;
 use crate::sync;
@@ -159,24 +163,43 @@
         .load()
         .as_ref()
         .map_or(IDLE_TIMEOUT, |table| table.config().limits.idle_timeout);
+    let requests_in_flight = AtomicUsize::new(0);
     let service = service_fn(|req| {
-        let mesh = &mesh;
-        async move { Ok::<_, Infallible>(arrival::handle(mesh, req).await) }
+        let (mesh, counter) = (&mesh, &requests_in_flight);
+        async move {
+            let _in_flight = InFlightGuard::new(counter);
+            Ok::<_, Infallible>(arrival::handle(mesh, req).await)
+        }
     });
+    let (stream, watcher) = Watched::new(stream);
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timeout also closes idle connections, so it must not be shorter than the idle timeout.
         .header_read_timeout(idle + IDLE_MARGIN)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
-    let ended = tokio::select! {
-        ended = &mut serving => ended,
-        () = await_close(&mut close) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let caller_left = async {
+        watcher.closed().await;
+        // Without a request in flight, the end of the connection is left to the HTTP library.
+        if requests_in_flight.load(Ordering::Relaxed) == 0 {
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::pin!(caller_left);
+    let mut is_closing = false;
+    let ended = loop {
+        tokio::select! {
+            biased;
+            ended = &mut serving => break Some(ended),
+            // The requests in flight are dropped together with `serving`.
+            () = &mut caller_left => break None,
+            () = await_close(&mut close), if !is_closing => {
+                is_closing = true;
+                serving.as_mut().graceful_shutdown();
+            }
         }
     };
-    if let Err(err) = ended
+    if let Some(Err(err)) = ended
         && let Some(suppressed) = mesh.reporter.try_write("connection", mesh.now())
     {
         slog::debug!(mesh.reporter.log(), "arrival: connection failed"; "error" => %err,
--- a/hitch-mesh/tests/it/cancel.rs
+++ b/hitch-mesh/tests/it/cancel.rs
@@ -120,3 +120,23 @@
     tokio::time::sleep(CANCEL_TIME).await;
     assert_eq!(received(&nodes[0]), [""; 0]);
 }
+
+/// Guards against GONE: bytes after a request hid from the node that its caller had closed the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_that_leaves_with_bytes_unread_is_noticed() {
+    let (_memory, nodes) = fleet(&["a"]).await;
+    *nodes[0].server.behavior.lock().unwrap() = Behavior::Answer(WORK_TIME);
+    let request =
+        |id: &str| format!("GET /slow/7 HTTP/1.1\r\nhost: mesh.example\r\nx-id: {id}\r\n\r\n");
+    let mut stream = TcpStream::connect(nodes[0].mesh.settings.requests)
+        .await
+        .unwrap();
+    let requests = request("first") + &request("second");
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    tokio::time::sleep(PATIENCE).await;
+    drop(stream);
+    tokio::time::sleep(CANCEL_TIME).await;
+    assert_eq!(nodes[0].mesh.in_flight(), 0);
+    tokio::time::sleep(WORK_TIME).await;
+    assert_eq!(received(&nodes[0]), ["first"]);
+}
