--- a/hitch-mesh/src/frame.rs
+++ b/hitch-mesh/src/frame.rs
@@ -4,6 +4,8 @@
 //! news; the other one answers, and sends its state. Either may request the configuration of the other. Frames are encoded with `prost`: its field numbers take less of the bandwidth between zones
 //! than header names.
 
+use std::net::SocketAddr;
+
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -232,6 +234,20 @@
     pub admin_port: u32,
 }
 
+impl Member {
+    /// Returns whether the address is an IP address with a port. An entry of another writer may have any text there.
+    ///
+    /// ```
+    /// let member = |address: &str| hitch_mesh::frame::Member { address: address.into(), ..Default::default() };
+    /// assert!(member("10.0.0.1:7600").has_usable_address());
+    /// assert!(!member("10.0.0.1:65536").has_usable_address());
+    /// ```
+    pub fn has_usable_address(&self) -> bool {
+        let address = self.address.parse::<SocketAddr>();
+        address.is_ok_and(|address| address.port() > 0)
+    }
+}
+
 /// A ping or its answer.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Ping {
--- a/hitch-mesh/src/peer.rs
+++ b/hitch-mesh/src/peer.rs
@@ -210,6 +210,10 @@
     {
         let mut known = lock(&mesh.members);
         for member in members.members {
+            if !member.has_usable_address() {
+                slog::warn!(mesh.reporter.log(), "members: entry without a usable address, ignored"; "address" => &member.address);
+                continue;
+            }
             if *member.address != *own {
                 add(&mut known, member);
             }
--- a/hitch-mesh/tests/it/fleet.rs
+++ b/hitch-mesh/tests/it/fleet.rs
@@ -201,7 +201,8 @@
         );
     }
 
-    fn append(&self, topic: Topic, record: Record) {
+    /// Appends a record as another writer might.
+    pub fn append(&self, topic: Topic, record: Record) {
         self.topics
             .lock()
             .unwrap()
--- a/hitch-mesh/tests/it/store.rs
+++ b/hitch-mesh/tests/it/store.rs
@@ -3,7 +3,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::BytesMut;
+use hitch_mesh::frame;
+use hitch_mesh::frame::Kind;
+use hitch_mesh::frame::Member;
+use hitch_mesh::frame::Members;
+use hitch_mesh::store::Record;
 use hitch_mesh::store::Topic;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::fleet;
 use crate::fleet::MemoryStore;
@@ -122,3 +131,57 @@
     await_until(|| node.mesh.version() == 2).await;
     assert!(start.elapsed() < Duration::from_secs(2));
 }
+
+/// Asks a node for its list of members, as a peer does.
+async fn members_known_to(node: &Node) -> Vec<Member> {
+    let mut buf = BytesMut::new();
+    frame::encode(Kind::Members(Members::default()), &mut buf);
+    let mut stream = TcpStream::connect(node.mesh.settings.peers).await.unwrap();
+    stream.write_all(&buf).await.unwrap();
+    buf.clear();
+    loop {
+        stream.read_buf(&mut buf).await.unwrap();
+        while let Some(frame) = frame::try_decode(&mut buf).unwrap() {
+            if let Some(Kind::Members(members)) = frame.kind {
+                return members.members;
+            }
+        }
+    }
+}
+
+/// Guards against entries of another writer that end a node or keep it from following the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_entries_do_not_keep_a_node_from_the_others() {
+    let memory = MemoryStore::default();
+    memory.publish(1);
+    for address in ["10.0.0.2:65536", "10.0.0.2:0", "node-2:7600", ""] {
+        memory.add_member(&Member {
+            address: address.into(),
+            incarnation: u64::MAX,
+            admin_port: u32::MAX,
+            ..fleet::member(unique_ip(), "a")
+        });
+    }
+    let group_start = 0x0b;
+    for (key, value) in [
+        ("deep", vec![group_start; 100_000]),
+        ("cut", vec![0x0a, 0xff]),
+    ] {
+        let value = Some(value.into());
+        let record = Record {
+            key: key.into(),
+            value,
+        };
+        memory.append(Topic::Members, record);
+    }
+    let mut nodes = Vec::new();
+    for _ in 0..2 {
+        nodes.push(Node::start_at(unique_ip(), &memory, "a", true).await);
+    }
+    for node in &nodes {
+        await_until(|| node.mesh.is_ready() && node.mesh.connected_peers() == 1).await;
+        for member in members_known_to(node).await {
+            assert!(member.has_usable_address(), "{member:?}");
+        }
+    }
+}
