--- a/hitch-admission/src/offer.rs
+++ b/hitch-admission/src/offer.rs
@@ -137,8 +137,8 @@
     ///
     /// Within a rank the oldest call is evicted, because it is the least likely to meet its target latency.
     fn make_room(&mut self, rank: RankId) -> bool {
-        let max_per_rank = (self.options.rank_queue_per_slot * self.slots) as usize;
-        let max_in_all = (self.options.total_queue_per_slot * self.slots) as usize;
+        let max_per_rank = self.options.rank_queue_per_slot.saturating_mul(self.slots) as usize;
+        let max_in_all = self.options.total_queue_per_slot.saturating_mul(self.slots) as usize;
         if self.ranks[rank.position()].queue.len() >= max_per_rank.max(1) {
             return self.displace(rank);
         }
@@ -199,7 +199,7 @@
 
     /// Returns the rank of the lowest worth among those whose queued calls exceed their share of the queue.
     fn rank_to_evict(&self) -> Option<RankId> {
-        let max_in_all = f64::from(self.options.total_queue_per_slot * self.slots);
+        let max_in_all = f64::from(self.options.total_queue_per_slot.saturating_mul(self.slots));
         let mut found: Option<RankId> = None;
         for (position, rank) in self.ranks.iter().enumerate() {
             let guaranteed = (rank.share * max_in_all).floor() as usize;
