--- a/hitch-edge/src/backend.rs
+++ b/hitch-edge/src/backend.rs
@@ -65,6 +65,9 @@
     pub call_id_header: HeaderName,
     /// Whether an answer without a call id counts as the answer to another call.
     pub is_call_id_required: bool,
+    /// Header that marks an answer as a refusal. A refusal without a call id counts as the answer to another call even if
+    /// other answers need none: the call is sent elsewhere on its word.
+    pub refusal_header: Option<HeaderName>,
     /// Maximum time during which an idle connection is reused, regardless of the keep-alive timeout
     /// that the backend server sends. Some servers drop idle connections without closing them, and
     /// it is unknown whether a call sent on such a connection has run.
@@ -85,6 +88,7 @@
             connect_timeout,
             call_id_header: HeaderName::from_static(header::CALL_ID),
             is_call_id_required: false,
+            refusal_header: None,
             max_idle: Duration::MAX,
         }
     }
@@ -371,9 +375,14 @@
             .headers
             .get(&self.shared.options.call_id_header)
             .and_then(|v| v.to_str().ok());
+        let options = &self.shared.options;
+        let is_refusal = || {
+            let header = options.refusal_header.as_ref();
+            header.is_some_and(|header| parts.headers.contains_key(header))
+        };
         let is_own_answer = match found {
             Some(found) => found == call_id,
-            None => !self.shared.options.is_call_id_required,
+            None => !options.is_call_id_required && !is_refusal(),
         };
         if !is_own_answer {
             let (expected, found) = (call_id.into(), found.unwrap_or_default().into());
--- a/hitch-edge/tests/it/backend.rs
+++ b/hitch-edge/tests/it/backend.rs
@@ -1,5 +1,8 @@
 //! Tests of the connection pool against a server with scripted answers.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
@@ -163,3 +166,123 @@
     let res = backend.run_unless_cancelled(req, "c-1", deadline, cancelled, on_send);
     assert_eq!(res.await.unwrap().body(), "a");
 }
+
+/// Answers the requests on one kept connection in turn, each with the next scripted bytes, and then closes it; later
+/// connections are answered with `other`. Returns the address and the number of requests read on all of them.
+async fn kept_connection_server(
+    answers: Vec<String>,
+    other: &'static str,
+) -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap().to_string();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = requests.clone();
+    tokio::spawn(async move {
+        let mut answers = Some(answers);
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let answers = answers.take().unwrap_or_else(|| vec![other.to_owned()]);
+            let counter = counter.clone();
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                for answer in answers {
+                    if stream.read(&mut buf).await.unwrap_or(0) == 0 {
+                        return;
+                    }
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    (peer, requests)
+}
+
+async fn run_id(backend: &Backend, id: &str) -> Result<Response<Bytes>, Error> {
+    let req = http::Request::put("/fees").header("x-hitch-call-id", id);
+    let req = req.body(Bytes::from_static(b"x")).unwrap();
+    let deadline = Instant::now() + Duration::from_secs(2);
+    backend.run(req, id, deadline, || ()).await
+}
+
+/// Guards against a refusal of an earlier call that is taken for the refusal of a later one on a kept connection.
+#[tokio::test]
+async fn repeated_refusal_is_not_the_answer_to_a_later_call() {
+    let refusal =
+        "HTTP/1.1 503 No\r\nx-hitch-call-id: c-1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let unnamed = "HTTP/1.1 503 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let answer = "HTTP/1.1 200 OK\r\nx-hitch-call-id: c-2\r\ncontent-length: 1\r\n\r\na";
+    let both = |first: &str, second: &str| format!("{first}{second}");
+    for (name, answers) in [
+        (
+            "before the later call",
+            vec![both(refusal, refusal), answer.into()],
+        ),
+        (
+            "in place of the answer",
+            vec![refusal.into(), refusal.into()],
+        ),
+        (
+            "ahead of the answer",
+            vec![refusal.into(), both(refusal, answer)],
+        ),
+        (
+            "without an id, before",
+            vec![both(refusal, unnamed), answer.into()],
+        ),
+        (
+            "without an id, ahead",
+            vec![refusal.into(), both(unnamed, answer)],
+        ),
+        (
+            "cut after the status",
+            vec![refusal.into(), "HTTP/1.1 503 No\r\n".into()],
+        ),
+    ] {
+        for (is_call_id_required, pause_ms) in [(true, 0), (true, 50), (false, 0), (false, 50)] {
+            let (peer, requests) = kept_connection_server(answers.clone(), answer).await;
+            let options = match is_call_id_required {
+                true => Options {
+                    is_call_id_required,
+                    ..options()
+                },
+                false => Options {
+                    refusal_header: Some("x-not-run".parse().unwrap()),
+                    ..options()
+                },
+            };
+            let backend = Backend::at(&peer, options);
+            assert_eq!(
+                run_id(&backend, "c-1").await.unwrap().status(),
+                503,
+                "{name}"
+            );
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            match run_id(&backend, "c-2").await {
+                Ok(res) => assert_eq!(res.status(), 200, "{name}"),
+                Err(err) => assert!(!err.is_not_run(), "{name}: {err}"),
+            }
+            assert_eq!(requests.load(Ordering::Relaxed), 2, "{name}");
+        }
+    }
+}
+
+/// Guards against a success made of an answer that ended within its head.
+#[tokio::test]
+async fn answer_that_ends_within_its_head_is_an_error() {
+    let head =
+        "HTTP/1.1 200 OK\r\nx-hitch-call-id: c-1\r\nx-signature: s\r\ncontent-length: 1\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\nx-hitch-call-id: c-1\r\ntransfer-encoding: chunked\r\n\r\n";
+    let old = "HTTP/1.0 200 OK\r\nx-hitch-call-id: c-1\r\nx-signature: s\r\n\r\n";
+    let interim = format!("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n{head}");
+    let bare = head.replace("\r\n", "\n");
+    for head in [head, chunked, &old[..old.len()], &interim, &bare] {
+        for length in 0..head.len() {
+            let cut: &'static str = Box::leak(head[..length].to_owned().into_boxed_str());
+            let backend = Backend::at(&scripted_server(vec![Some(cut)]).await, options());
+            let result = run(&backend, 2_000).await;
+            let err = result.expect_err(&format!("{cut:?} was taken for an answer"));
+            assert!(!err.is_not_run(), "{cut:?}: {err}");
+        }
+    }
+}
--- a/hitch-mesh/src/execute.rs
+++ b/hitch-mesh/src/execute.rs
@@ -126,6 +126,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         call_id_header: mesh.settings.header_names.request_id.clone(),
         is_call_id_required: true,
+        refusal_header: None,
         max_idle: MAX_IDLE_TIME,
     };
     let connections = Backend::at(&mesh.settings.backend.to_string(), options);
@@ -657,6 +658,7 @@
         // A health check has no call id.
         call_id_header: names.request_id.clone(),
         is_call_id_required: false,
+        refusal_header: None,
         max_idle: MAX_IDLE_TIME,
     };
     let connections = Backend::at(&mesh.settings.backend.to_string(), options);
--- a/hitch-node/src/controller/apply.rs
+++ b/hitch-node/src/controller/apply.rs
@@ -13,8 +13,10 @@
 use hitch_event::Kind;
 use hitch_route::Table;
 use hitch_spread::Record;
+use http::HeaderName;
 
 use crate::blackboard::Config;
+use crate::execute;
 use crate::gate::Gate;
 use crate::node::Node;
 use crate::shards::lock;
@@ -175,7 +177,10 @@
         &contract.ranks,
         Default::default(),
     ));
-    let options = Options::new(service.connections as usize, CONNECT_TIMEOUT);
+    let options = Options {
+        refusal_header: Some(HeaderName::from_static(execute::SHED)),
+        ..Options::new(service.connections as usize, CONNECT_TIMEOUT)
+    };
     let address = node.settings.backend.address.to_string();
     node.board
         .backend
--- a/hitch-node/src/execute.rs
+++ b/hitch-node/src/execute.rs
@@ -28,7 +28,7 @@
 use crate::reply::insert;
 
 /// Header with which a backend server marks a call that it refused before it ran any of it.
-const SHED: &str = "x-hitch-shed";
+pub(crate) const SHED: &str = "x-hitch-shed";
 
 /// Result of one attempt on the local backend server.
 #[derive(Debug)]
--- a/hitch-standin-backend/src/call.rs
+++ b/hitch-standin-backend/src/call.rs
@@ -118,7 +118,7 @@
         } => (service_time, generation),
         // The connection is about to be closed, which drops this future.
         Admission::Down => return std::future::pending().await,
-        Admission::Shed => return Err(shed(handle)),
+        Admission::Shed => return Err(shed(handle, headers)),
         Admission::FailFast => {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Err(error_response(handle, status, "failing fast"));
@@ -226,10 +226,13 @@
     json(handle, status, &body, false)
 }
 
-fn shed(handle: &Handle) -> Response {
+fn shed(handle: &Handle, call_headers: &HeaderMap) -> Response {
     let mut res = error_response(handle, StatusCode::SERVICE_UNAVAILABLE, "no free slot");
-    res.headers_mut()
-        .insert(header::SHED, HeaderValue::from_static("1"));
+    let headers = res.headers_mut();
+    headers.insert(header::SHED, HeaderValue::from_static("1"));
+    if let Some(id) = call_headers.get(header::CALL_ID) {
+        headers.insert(header::CALL_ID, id.clone());
+    }
     res
 }
 
