--- a/hitch-mesh/src/attempts.rs
+++ b/hitch-mesh/src/attempts.rs
@@ -53,19 +53,18 @@
     if lock(&mesh.members).called(mesh.now(), &routed.service) {
         mesh.dial_wake.notify_one();
     }
-    let mut tried = Vec::new();
+    let mut tried = Tried::default();
     let mut unresponsive = FuturesUnordered::new();
     let mut attempts_made = 0;
     let mut unknown = None;
     let mut last_not_run = Outcome::not_run("no backend server is known", RETRY_AFTER_NO_BACKEND);
-    while tried.len() < MAX_NODES.max(routed.route.max_attempts as usize) {
+    while tried.addresses.len() < MAX_NODES.max(routed.route.max_attempts as usize) {
         if routed.deadline < mesh.now() + MIN_REMAINING {
             break;
         }
-        let Some(pick) = pick(mesh, routed, &tried) else {
+        let Some(pick) = pick(mesh, routed, &mut tried) else {
             break;
         };
-        tried.push(pick.key);
         let may_retry = routed.route.idempotent && attempts_made + 1 < routed.route.max_attempts;
         let mut credit_spent = false;
         // An unresponsive node may still answer, so the call goes on to another node only if it can be retried.
@@ -294,15 +293,31 @@
     }
 }
 
-fn pick(mesh: &Mesh, routed: &RoutedRequest, tried: &[BackendKey]) -> Option<Pick> {
+/// The nodes that a call was sent to. A node that connects again gets another key in its pool, but not the call again: its
+/// backend server may repeat the refusal of the first attempt, which has the same id.
+#[derive(Debug, Default)]
+struct Tried {
+    keys: Vec<BackendKey>,
+    addresses: Vec<Box<str>>,
+}
+
+/// Chooses a node that the call was not sent to yet, and adds it to `tried`.
+fn pick(mesh: &Mesh, routed: &RoutedRequest, tried: &mut Tried) -> Option<Pick> {
     let now = mesh.now();
     let service = &*routed.service;
     let max_zone_wait = routed.route.target_latency.mul_f64(ZONE_WAIT_FRACTION);
     let mut shard = mesh.pools.lock(service);
     let pool = shard.get_mut(service)?;
-    let pick = pool.pick_by_wait(now, &mut rand::rng(), tried, max_zone_wait)?;
-    pool.started(pick.key);
-    Some(pick)
+    loop {
+        let pick = pool.pick_by_wait(now, &mut rand::rng(), &tried.keys, max_zone_wait)?;
+        tried.keys.push(pick.key);
+        if tried.addresses.contains(&pick.address) {
+            continue;
+        }
+        tried.addresses.push(pick.address.clone());
+        pool.started(pick.key);
+        return Some(pick);
+    }
 }
 
 /// Adds the retry credit of a new call to the service's bucket.
--- a/hitch-mesh/tests/it/forwarding.rs
+++ b/hitch-mesh/tests/it/forwarding.rs
@@ -4,9 +4,13 @@
 use std::time::Instant;
 
 use crate::fleet::Behavior;
+use crate::fleet::MemoryStore;
 use crate::fleet::Node;
 use crate::fleet::await_until;
 use crate::fleet::fleet;
+use crate::fleet::unique_ip;
+use crate::scripted::PeerBehavior;
+use crate::scripted::ScriptedPeer;
 
 fn set_behavior(node: &Node, behavior: Behavior) {
     *node.server.behavior.lock().unwrap() = behavior;
@@ -291,3 +295,34 @@
     let received = nodes[0].server.received.lock().unwrap().len();
     assert_eq!(received, SLOTS as usize);
 }
+
+/// Guards against a call that is sent twice to one node, whose backend server may repeat the first refusal of its id.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_that_reconnects_gets_no_call_twice() {
+    let behavior = PeerBehavior::RefuseAndClose(Duration::from_millis(100));
+    let (first, second) = (
+        ScriptedPeer::start("a").await,
+        ScriptedPeer::start("a").await,
+    );
+    let memory = MemoryStore::default();
+    memory.publish(1);
+    memory.add_member(&first.member);
+    memory.add_member(&second.member);
+    let node = Node::start_at(unique_ip(), &memory, "a", true).await;
+    await_until(|| node.mesh.is_ready() && node.mesh.connected_peers() == 2).await;
+    node.report(1, true);
+    for peer in [&first, &second] {
+        *peer.behavior.lock().unwrap() = behavior;
+    }
+    for i in 0..5 {
+        let id = format!("r-{i}");
+        let (status, _) = node.call("PUT", "/long/7", &id).await.unwrap();
+        assert_eq!(status, 503);
+        for peer in [&first, &second] {
+            let received = peer.received.lock().unwrap();
+            let times = received.iter().filter(|received| **received == id).count();
+            assert!(times <= 1, "{id} was sent {times} times to one node");
+        }
+    }
+    assert!(!first.received.lock().unwrap().is_empty());
+}
--- a/hitch-mesh/tests/it/scripted.rs
+++ b/hitch-mesh/tests/it/scripted.rs
@@ -14,6 +14,7 @@
 use hitch_mesh::frame::Kind;
 use hitch_mesh::frame::Member;
 use hitch_mesh::frame::State;
+use hitch_mesh::frame::Verdict;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -32,6 +33,8 @@
     UnresponsiveFor(Duration),
     /// It answers pings, but no calls.
     PongOnly,
+    /// It refuses a call after the given time and closes the connection. The node connects again at once.
+    RefuseAndClose(Duration),
 }
 
 /// A scripted peer.
@@ -118,8 +121,22 @@
                 (Some(Kind::Call(call)), PeerBehavior::PongOnly) => {
                     received.lock().unwrap().push(call.request_id);
                 }
+                (Some(Kind::Call(call)), PeerBehavior::RefuseAndClose(time)) => {
+                    received.lock().unwrap().push(call.request_id.clone());
+                    tokio::time::sleep(time).await;
+                    let refusal = Answer {
+                        verdict: Verdict::NotRun.into(),
+                        reason: "refused".into(),
+                        ..answer(&call)
+                    };
+                    send(&mut writer, Kind::Answer(refusal)).await;
+                    return;
+                }
                 (Some(Kind::Cancel(_)), _) => *cancelled.lock().unwrap() += 1,
-                (Some(Kind::Ping(ping)), PeerBehavior::Answer | PeerBehavior::PongOnly) => {
+                (
+                    Some(Kind::Ping(ping)),
+                    PeerBehavior::Answer | PeerBehavior::PongOnly | PeerBehavior::RefuseAndClose(_),
+                ) => {
                     send(&mut writer, Kind::Pong(ping)).await;
                 }
                 _ => {}
