--- a/hitch-node/src/controller/apply.rs
+++ b/hitch-node/src/controller/apply.rs
@@ -165,7 +165,12 @@
         return;
     };
     match node.board.gate.load_full() {
-        Some(gate) => gate.reconfigure(service, &contract.ranks),
+        Some(gate) => {
+            if let Some(backend) = node.board.backend.load_full() {
+                backend.raise_max_connections(service.connections as usize);
+            }
+            gate.reconfigure(service, &contract.ranks);
+        }
         None => create_gate(node, contract, service),
     }
 }
--- a/hitch-node/tests/it/configuration.rs
+++ b/hitch-node/tests/it/configuration.rs
@@ -127,3 +127,28 @@
     assert_ne!(before, after);
     assert_eq!(fleet.members[0].status().await["state_hash"], after);
 }
+
+/// Guards against an amended contract whose additional connections are not opened.
+#[tokio::test(flavor = "multi_thread")]
+async fn raised_connections_of_a_contract_are_used() {
+    const WORK: Duration = Duration::from_millis(600);
+    let sized = |slots: u32| {
+        let size = format!("slots: {slots}, connections: {slots}");
+        CONTRACT.replace("slots: 13, connections: 130", &size)
+    };
+    let fleet = Fleet::start(1).await;
+    fleet.publish(0, &sized(2));
+    fleet.wait_in_force(1).await;
+    let raised = fleet.publish(1, &sized(8));
+    fleet.wait_in_force(raised).await;
+    // The concurrency limit rises for 3 s after the start of a node.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let work_ms = WORK.as_millis().to_string();
+    let headers = [("x-hitch-work-ms", &*work_ms)];
+    let started = std::time::Instant::now();
+    let calls = (0..8).map(|_| fleet.members[0].get("/fees/7", &headers));
+    for res in futures::future::join_all(calls).await {
+        assert_eq!(res.unwrap().status(), 200);
+    }
+    assert!(started.elapsed() < 2 * WORK, "{:?}", started.elapsed());
+}
