Count a node as ready only once it admits calls

hitch-node configuration::fleet_serves_and_bootstraps_through_a_log_outage failed twice in 35 runs during this work: the first call at a node that had just become ready got 429, 'the customer's limit for this rank is used up'.

Cause: the node was ready when its base share began by the clock, up to one tick before the tick with which it joins. A call in between refills the bucket by the share at the previous refill, which is zero. Readiness now waits for the join.

--- a/hitch-node/src/node.rs
+++ b/hitch-node/src/node.rs
@@ -126,7 +126,7 @@
         if !lock(&self.board.spread).is_ready() {
             return Some("the node has not caught up since it started");
         }
-        if !lock(&self.board.share).has_base_share(self.time.now()) {
+        if !lock(&self.board.share).has_joined() {
             return Some("the other nodes of the service do not count this one yet");
         }
         if !status.backend_up {
--- a/hitch-share/src/members.rs
+++ b/hitch-share/src/members.rs
@@ -132,6 +132,19 @@
         self.join_state.has_base_share(now, &self.options)
     }
 
+    /// Returns whether this node has joined: it has used its base share since its latest tick at least. A call that is
+    /// offered between the begin of the base share and that tick finds no token yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let share = hitch_share::Share::new(Duration::ZERO, "ledger-1", 1, Default::default());
+    /// assert!(!share.has_joined());
+    /// ```
+    pub fn has_joined(&self) -> bool {
+        self.join_state == JoinState::Joined
+    }
+
     /// Makes this node join again if it did not tick for longer than [`Options::max_tick_gap`], because the
     /// others may have reassigned its share.
     pub(crate) fn check_tick_gap(&mut self, now: Duration) {
