--- a/hitch-mesh/src/metrics.rs
+++ b/hitch-mesh/src/metrics.rs
@@ -15,7 +15,8 @@
 /// Labels of a request's or call's outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Ended {
-    /// Outcome. Requests: served, refused, unknown, late or left (by the caller, without an answer). Calls: answered, not run or unknown.
+    /// Outcome. Requests: served, refused, unknown, late or left (by the caller, without an answer). Calls: answered, not
+    /// run or unknown.
     pub outcome: &'static str,
     /// Reason of the outcome, or empty.
     pub reason: String,
--- a/hitch-mesh/src/store.rs
+++ b/hitch-mesh/src/store.rs
@@ -33,6 +33,8 @@
 pub struct Page {
     /// Records in the order of the topic.
     pub records: Vec<Record>,
+    /// Keys of records that cannot be decoded, for example of another writer. They are not among `records`.
+    pub undecodable: Vec<Box<str>>,
     /// Offset at which the next read continues.
     pub end: u64,
 }
--- a/hitch-mesh/src/sync.rs
+++ b/hitch-mesh/src/sync.rs
@@ -119,7 +119,14 @@
     });
 }
 
+fn log_undecodable(mesh: &Mesh, page: &Page) {
+    for key in &page.undecodable {
+        slog::warn!(mesh.reporter.log(), "store: record cannot be decoded, ignored"; "key" => %key);
+    }
+}
+
 fn apply_newest_config(mesh: &Arc<Mesh>, page: Page) {
+    log_undecodable(mesh, &page);
     let newest = page
         .records
         .into_iter()
@@ -177,6 +184,7 @@
 
 /// Adds the members of the list, and returns whether this node's own entry is in it, up to the time of the start.
 fn learn_members(mesh: &Mesh, page: Page, own: &Member) -> bool {
+    log_undecodable(mesh, &page);
     let mut is_listed = false;
     let mut members = Vec::new();
     for record in page.records {
--- a/hitch-mesh/tests/it/fleet.rs
+++ b/hitch-mesh/tests/it/fleet.rs
@@ -217,6 +217,7 @@
         let records = topics.get(&topic).cloned().unwrap_or_default();
         Page {
             end: records.len() as u64,
+            undecodable: Vec::new(),
             records: records.into_iter().skip(from as usize).collect(),
         }
     }
