--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -403,10 +403,7 @@
         thread::spawn(move || {
             thread::sleep(LONGEST_RUN);
             for id in lock(&started).iter() {
-                let _ = Command::new("kill")
-                    .arg("-KILL")
-                    .arg(id.to_string())
-                    .status();
+                send_signal(*id, SIGKILL);
             }
             std::process::exit(2);
         });
@@ -512,14 +509,11 @@
     }
 
     /// Sends a signal to the process that `start` started, if it has not ended.
-    pub fn signal(&self, name: &str) {
+    pub fn signal(&self, number: i32) {
         if let Some(child) = &mut *lock(&self.child)
             && matches!(child.try_wait(), Ok(None))
         {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(child.id().to_string())
-                .status();
+            send_signal(child.id(), number);
         }
     }
 
@@ -582,7 +576,7 @@
 impl Drop for Cleanup {
     fn drop(&mut self) {
         for machine in &self.0 {
-            machine.signal("CONT");
+            machine.signal(SIGCONT);
             machine.kill();
         }
     }
@@ -835,7 +829,21 @@
 const IPPROTO_TCP: i32 = 6;
 const TCP_MAXSEG: i32 = 2;
 
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+/// On x86-64 and arm64.
+pub const SIGCONT: i32 = 18;
+
+/// Sends a signal to a process that this script started and that has not been waited for.
+fn send_signal(id: u32, number: i32) {
+    if let Ok(id) = i32::try_from(id) {
+        // The call takes no pointers.
+        unsafe { kill(id, number) };
+    }
+}
+
 unsafe extern "C" {
+    fn kill(id: i32, number: i32) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn connect(fd: i32, address: *const u8, length: u32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
